Rename the crate of the store's borders from platform to store

The folder platform/ is to hold the adapter for the users' platform; the borders that the product meets any store through keep a name of their own.

Conclusion: no behaviour changed.

--- a/crates/account/benches/admit.rs
+++ b/crates/account/benches/admit.rs
@@ -14,7 +14,7 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
-use platform::Outcome;
+use store::Outcome;
 
 /// Opens a ledger of one instance that holds all slices of `accounts` accounts.
 fn ledger(accounts: u32, limit: Limit) -> (Ledger, Time) {
--- a/crates/account/src/rate/decision.rs
+++ b/crates/account/src/rate/decision.rs
@@ -4,8 +4,8 @@
 
 use clock::Span;
 use clock::Time;
-use platform::Condition;
-use platform::Write;
+use store::Condition;
+use store::Write;
 
 use crate::rate::Message;
 
--- a/crates/account/src/rate/ledger.rs
+++ b/crates/account/src/rate/ledger.rs
@@ -6,8 +6,8 @@
 
 use clock::Span;
 use clock::Time;
-use platform::Error;
-use platform::Outcome;
+use store::Error;
+use store::Outcome;
 
 use crate::rate::Action;
 use crate::rate::Amount;
@@ -189,7 +189,7 @@
         &mut self,
         now: Time,
         id: u64,
-        result: Result<Vec<platform::Row>, Error>,
+        result: Result<Vec<store::Row>, Error>,
     ) -> Vec<Action> {
         let actions = self.share.on_read(now, id, result);
         self.reschedule(now);
--- a/crates/account/src/rate/slices/share.rs
+++ b/crates/account/src/rate/slices/share.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use clock::Time;
-use platform::Error;
-use platform::Outcome;
+use store::Error;
+use store::Outcome;
 
 use crate::rate::Action;
 use crate::rate::Answer;
@@ -124,7 +124,7 @@
         &mut self,
         now: Time,
         id: u64,
-        result: Result<Vec<platform::Row>, Error>,
+        result: Result<Vec<store::Row>, Error>,
     ) -> Vec<Action> {
         if self.end(id).is_none() {
             return Vec::new();
--- a/crates/account/src/rate/slices/transaction.rs
+++ b/crates/account/src/rate/slices/transaction.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use platform::Condition;
-use platform::Write;
+use store::Condition;
+use store::Write;
 
 use crate::rate::EPOCH_KEY;
 use crate::rate::Row;
--- a/crates/account/src/rate/slices/view.rs
+++ b/crates/account/src/rate/slices/view.rs
@@ -38,7 +38,7 @@
     /// Takes in a read of all rows that ended at `now`.
     ///
     /// Returns false, and changes nothing, if a row does not parse.
-    pub fn on_read(&mut self, now: Time, policy: &Policy, rows: &[platform::Row]) -> bool {
+    pub fn on_read(&mut self, now: Time, policy: &Policy, rows: &[store::Row]) -> bool {
         let mut next = BTreeMap::new();
         let mut epoch = None;
         let gap = !self.is_recent(now, policy);
--- a/crates/account/tests/rate/conflict.rs
+++ b/crates/account/tests/rate/conflict.rs
@@ -10,13 +10,13 @@
 use account::rate::SLICES;
 use clock::Span;
 use clock::Time;
-use platform::Condition;
-use platform::Error;
-use platform::Outcome;
-use platform::Write;
+use store::Condition;
+use store::Error;
+use store::Outcome;
+use store::Write;
 use test_case::test_case;
 
-fn read(ledger: &mut Ledger, now: Time, rows: Vec<platform::Row>) -> Vec<Action> {
+fn read(ledger: &mut Ledger, now: Time, rows: Vec<store::Row>) -> Vec<Action> {
     let id = ledger
         .tick(now)
         .into_iter()
@@ -39,9 +39,9 @@
 }
 
 /// Returns the rows that `writes` put, at `version`.
-fn rows(writes: &[Write], version: u64) -> Vec<platform::Row> {
+fn rows(writes: &[Write], version: u64) -> Vec<store::Row> {
     let row = |write: &Write| match write {
-        Write::Put { key, value } => Some(platform::Row {
+        Write::Put { key, value } => Some(store::Row {
             key: Arc::clone(key),
             value: Arc::clone(value),
             version,
@@ -52,7 +52,7 @@
 }
 
 /// The row of a member that holds nothing yet.
-fn joined() -> platform::Row {
+fn joined() -> store::Row {
     let member = Member {
         name: Arc::from("two"),
         life: 9,
@@ -66,7 +66,7 @@
         mobile: 0,
         electors: vec![member.clone()],
     };
-    platform::Row {
+    store::Row {
         key: member.key(),
         value: Arc::from(serde_json::to_string(&row).expect("plain data")),
         version: 2,
--- a/crates/account/tests/rate/fleet/event.rs
+++ b/crates/account/tests/rate/fleet/event.rs
@@ -3,10 +3,10 @@
 use account::rate::Limit;
 use account::rate::Message;
 use clock::Time;
-use platform::Condition;
-use platform::Error;
-use platform::Outcome;
-use platform::Write;
+use store::Condition;
+use store::Error;
+use store::Outcome;
+use store::Write;
 
 /// A table call.
 pub enum Call {
@@ -16,7 +16,7 @@
 
 /// The answer to a table call.
 pub enum Answer {
-    Read(Result<Vec<platform::Row>, Error>),
+    Read(Result<Vec<store::Row>, Error>),
     Commit(Result<Outcome, Error>),
 }
 
--- a/crates/account/tests/rate/fleet/network.rs
+++ b/crates/account/tests/rate/fleet/network.rs
@@ -6,9 +6,9 @@
 use account::rate::Send;
 use clock::Span;
 use futures::FutureExt;
-use platform::Error;
-use platform::Table;
 use rand::Rng;
+use store::Error;
+use store::Table;
 
 use super::event::Answer;
 use super::event::Call;
@@ -98,7 +98,7 @@
         Span::from_micros(self.rng.random_range(200..=most))
     }
 
-    fn list(&self) -> Vec<platform::Row> {
+    fn list(&self) -> Vec<store::Row> {
         self.table
             .list(PREFIX)
             .now_or_never()
--- a/crates/account/tests/rate/fleet/world.rs
+++ b/crates/account/tests/rate/fleet/world.rs
@@ -12,10 +12,10 @@
 use account::rate::SLICES;
 use clock::Span;
 use clock::Time;
-use platform::Memory;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use store::Memory;
 
 use super::bound::Bound;
 use super::event::Answer;
--- a/crates/daemon/src/group/driver.rs
+++ b/crates/daemon/src/group/driver.rs
@@ -13,8 +13,8 @@
 use group::Outcome;
 use group::Row;
 use group::Votes;
-use platform::Condition;
-use platform::Write;
+use store::Condition;
+use store::Write;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::timeout;
@@ -159,15 +159,15 @@
     };
     let outcome = node.table.commit(vec![condition], vec![write]).await;
     let outcome = match outcome {
-        Ok(platform::Outcome::Committed { version }) => Outcome::Committed { version },
-        Ok(platform::Outcome::Conflict { rows }) => Outcome::Conflict {
+        Ok(store::Outcome::Committed { version }) => Outcome::Committed { version },
+        Ok(store::Outcome::Conflict { rows }) => Outcome::Conflict {
             current: rows.iter().find(|row| row.key == key).and_then(|row| {
                 let parsed = Row::parse(&handle.name, &row.value).ok()?;
                 Some((parsed, row.version))
             }),
         },
-        Err(platform::Error::Refused { .. }) => Outcome::Refused,
-        Err(platform::Error::Unknown { .. }) => Outcome::Unknown,
+        Err(store::Error::Refused { .. }) => Outcome::Refused,
+        Err(store::Error::Unknown { .. }) => Outcome::Unknown,
     };
     handle.input(|view, now| view.on_commit_result(now, started, row, outcome));
 }
--- a/crates/daemon/src/group/handle.rs
+++ b/crates/daemon/src/group/handle.rs
@@ -126,7 +126,7 @@
     }
 
     /// Takes the group's row as it was in a read begun at `started`.
-    pub fn on_row(&self, started: Time, row: Option<&platform::Row>) {
+    pub fn on_row(&self, started: Time, row: Option<&store::Row>) {
         let Some(row) = row else {
             self.input(|view, now| view.on_no_row(now));
             return;
--- a/crates/daemon/src/group/hub.rs
+++ b/crates/daemon/src/group/hub.rs
@@ -10,10 +10,10 @@
 use group::Member;
 use group::Policy;
 use group::View;
-use platform::Machine;
-use platform::Status;
 use settings::Group;
 use settings::Tree;
+use store::Machine;
+use store::Status;
 
 use super::Handle;
 use super::driver;
--- a/crates/daemon/src/task/lease.rs
+++ b/crates/daemon/src/task/lease.rs
@@ -64,8 +64,8 @@
         let renewal = lock(&node.keeper).release();
         let outcome = node.table.commit(renewal.conditions, renewal.writes).await;
         match outcome {
-            Ok(platform::Outcome::Committed { .. }) => return,
-            Ok(platform::Outcome::Conflict { .. }) => {}
+            Ok(store::Outcome::Committed { .. }) => return,
+            Ok(store::Outcome::Conflict { .. }) => {}
             Err(error) => log::warn!("step=release-lease error={error:?}"),
         }
         let key = membership::instance_key(&node.options.name);
@@ -102,7 +102,7 @@
         keeper.on_outcome(begun, now, &outcome, jitter);
         keeper.valid_until()
     };
-    if matches!(outcome, Ok(platform::Outcome::Committed { .. })) {
+    if matches!(outcome, Ok(store::Outcome::Committed { .. })) {
         let from = extend(node, begun, now, until);
         for handle in node.all_groups() {
             handle.input(|view, _| view.on_registered(from, until));
--- a/crates/daemon/src/task/rows.rs
+++ b/crates/daemon/src/task/rows.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use clock::Time;
-use platform::Row;
+use store::Row;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
--- a/crates/daemon/tests/fleet/leaving.rs
+++ b/crates/daemon/tests/fleet/leaving.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use admin::Control as _;
-use platform::Machine;
-use platform::Status;
+use store::Machine;
+use store::Status;
 
 use super::support::Fleet;
 use super::support::run;
--- a/crates/daemon/tests/fleet/stops.rs
+++ b/crates/daemon/tests/fleet/stops.rs
@@ -2,7 +2,7 @@
 
 use admin::Control as _;
 
-use platform::Table;
+use store::Table;
 
 use super::support::Fleet;
 use super::support::column;
--- a/crates/daemon/tests/fleet/support.rs
+++ b/crates/daemon/tests/fleet/support.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::store::Http;
 use admin::Control as _;
 use daemon::Instance;
 use daemon::conf::Options;
 use daemon::control::Control;
-use platform::Http;
 use settings::Answer;
 use settings::Change;
 use settings::Operation;
--- a/crates/membership/src/keeper.rs
+++ b/crates/membership/src/keeper.rs
@@ -4,11 +4,11 @@
 
 use clock::Span;
 use clock::Time;
-use platform::Condition;
-use platform::Error;
-use platform::Outcome;
-use platform::Row;
-use platform::Write;
+use store::Condition;
+use store::Error;
+use store::Outcome;
+use store::Row;
+use store::Write;
 
 use crate::Lease;
 use crate::Phase;
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use platform::Row;
 use serde::Deserialize;
 use serde::Serialize;
+use store::Row;
 
 /// The prefix of the instances' rows.
 pub const INSTANCES: &str = "instance/";
--- a/crates/membership/src/roll.rs
+++ b/crates/membership/src/roll.rs
@@ -7,8 +7,8 @@
 
 use clock::Span;
 use clock::Time;
-use platform::Machine;
-use platform::Row;
+use store::Machine;
+use store::Row;
 
 use crate::Heartbeat;
 use crate::Lease;
@@ -222,7 +222,7 @@
     pub fn is_leaving_by_hint(&self, name: &str) -> bool {
         self.hints
             .get(name)
-            .is_some_and(|machine| machine.status == platform::Status::Leaving)
+            .is_some_and(|machine| machine.status == store::Status::Leaving)
     }
 
     /// Returns when the table last answered, counted from the start of the read.
--- a/crates/membership/tests/membership/keeper.rs
+++ b/crates/membership/tests/membership/keeper.rs
@@ -6,10 +6,10 @@
 use membership::Keeper;
 use membership::Lease;
 use membership::Phase;
-use platform::Condition;
-use platform::Error;
-use platform::Outcome;
-use platform::Write;
+use store::Condition;
+use store::Error;
+use store::Outcome;
+use store::Write;
 use test_case::test_case;
 
 use crate::sample::at;
--- a/crates/membership/tests/membership/roll.rs
+++ b/crates/membership/tests/membership/roll.rs
@@ -6,11 +6,11 @@
 use membership::Heartbeat;
 use membership::Phase;
 use membership::Verdict;
-use platform::Condition;
-use platform::Machine;
-use platform::Row;
-use platform::Status;
 use proptest::prelude::*;
+use store::Condition;
+use store::Machine;
+use store::Row;
+use store::Status;
 use test_case::test_case;
 
 use crate::sample::at;
--- a/crates/membership/tests/membership/sample.rs
+++ b/crates/membership/tests/membership/sample.rs
@@ -11,7 +11,7 @@
 use membership::Roll;
 use membership::VERSION;
 use membership::instance_key;
-use platform::Row;
+use store::Row;
 
 pub fn at(millis: u64) -> Time {
     Time::ZERO + Span::from_millis(millis)
--- a/crates/membership/tests/membership/spread.rs
+++ b/crates/membership/tests/membership/spread.rs
@@ -8,7 +8,7 @@
 use membership::HeadSource;
 use membership::POLLERS_PER_ZONE;
 use membership::Roll;
-use platform::Row;
+use store::Row;
 use test_case::test_case;
 
 use crate::sample::at;
--- a/crates/settings/src/archive.rs
+++ b/crates/settings/src/archive.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use platform::Object;
-use platform::Objects;
+use store::Object;
+use store::Objects;
 
 use crate::Error;
 use crate::Snapshot;
@@ -89,7 +89,7 @@
     Arc::from(format!("settings/snapshot-{slot}"))
 }
 
-fn unavailable(step: &'static str, error: &platform::Error) -> Error {
+fn unavailable(step: &'static str, error: &store::Error) -> Error {
     Error::Unavailable {
         step,
         why: error.to_string(),
--- a/crates/settings/src/edit.rs
+++ b/crates/settings/src/edit.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use platform::Condition;
-use platform::Outcome;
-use platform::Row;
-use platform::Write;
 use serde::Deserialize;
 use serde::Serialize;
+use store::Condition;
+use store::Outcome;
+use store::Row;
+use store::Write;
 
 use crate::Change;
 use crate::Error;
@@ -136,7 +136,7 @@
     }
 
     /// Takes the rows that were read; a missing row is left out.
-    pub fn on_rows(&mut self, rows: Result<BTreeMap<Arc<str>, Row>, platform::Error>) -> Step {
+    pub fn on_rows(&mut self, rows: Result<BTreeMap<Arc<str>, Row>, store::Error>) -> Step {
         match rows {
             Err(error) => self.read_failed(&error.to_string()),
             Ok(rows) => match self.decide(&rows) {
@@ -147,7 +147,7 @@
     }
 
     /// Takes the answer to a commit.
-    pub fn on_outcome(&mut self, outcome: Result<Outcome, platform::Error>) -> Step {
+    pub fn on_outcome(&mut self, outcome: Result<Outcome, store::Error>) -> Step {
         match outcome {
             Ok(Outcome::Committed { .. }) => {
                 let (record, snapshot) = self.proposed.take().expect("a commit was under way");
@@ -157,8 +157,8 @@
                 })
             }
             Ok(Outcome::Conflict { .. }) => self.read(),
-            Err(error @ platform::Error::Refused { .. }) => self.give_up(&error.to_string()),
-            Err(platform::Error::Unknown { .. }) => {
+            Err(error @ store::Error::Refused { .. }) => self.give_up(&error.to_string()),
+            Err(store::Error::Unknown { .. }) => {
                 self.in_doubt = true;
                 self.read()
             }
--- a/crates/settings/src/record.rs
+++ b/crates/settings/src/record.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use platform::Row;
 use serde::Deserialize;
 use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
+use store::Row;
 
 use crate::Change;
 use crate::Error;
--- a/crates/settings/src/store.rs
+++ b/crates/settings/src/store.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use platform::Outcome;
-use platform::Row;
-use platform::Table;
+use store::Outcome;
+use store::Row;
+use store::Table;
 
 use crate::Answer;
 use crate::Change;
@@ -82,7 +82,7 @@
         row.map_err(|error| unavailable(step, &error))
     }
 
-    async fn read(&self, keys: &[Arc<str>]) -> Result<BTreeMap<Arc<str>, Row>, platform::Error> {
+    async fn read(&self, keys: &[Arc<str>]) -> Result<BTreeMap<Arc<str>, Row>, store::Error> {
         let mut rows = BTreeMap::new();
         for key in keys {
             if let Some(row) = self.table.get(key).await? {
@@ -93,7 +93,7 @@
     }
 }
 
-fn unavailable(step: &'static str, error: &platform::Error) -> Error {
+fn unavailable(step: &'static str, error: &store::Error) -> Error {
     Error::Unavailable {
         step,
         why: error.to_string(),
--- a/crates/settings/tests/settings/archive.rs
+++ b/crates/settings/tests/settings/archive.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use platform::Memory;
-use platform::Objects;
 use settings::Archive;
 use settings::SLOTS;
 use settings::Snapshot;
+use store::Memory;
+use store::Objects;
 
 fn snapshot(revision: u64) -> Snapshot {
     Snapshot::of(revision, "c", &crate::sample::tree())
--- a/crates/settings/tests/settings/changes.rs
+++ b/crates/settings/tests/settings/changes.rs
@@ -4,11 +4,6 @@
 use std::sync::Arc;
 
 use futures::FutureExt;
-use platform::Error;
-use platform::Memory;
-use platform::Outcome;
-use platform::Row;
-use platform::Table;
 use settings::Answer;
 use settings::Change;
 use settings::Edit;
@@ -20,6 +15,11 @@
 use settings::TREE;
 use settings::change_key;
 use settings::restore;
+use store::Error;
+use store::Memory;
+use store::Outcome;
+use store::Row;
+use store::Table;
 use test_case::test_case;
 
 use crate::sample::change;
--- a/crates/settings/tests/settings/operators.rs
+++ b/crates/settings/tests/settings/operators.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use platform::Error;
-use platform::Row;
 use rand::Rng;
 use serde_json::json;
 use settings::Answer;
@@ -12,6 +10,8 @@
 use settings::Delta;
 use settings::Edit;
 use settings::Step;
+use store::Error;
+use store::Row;
 
 use crate::changes::get;
 use crate::fleet::DELAY_STEPS;
--- a/crates/settings/tests/settings/store.rs
+++ b/crates/settings/tests/settings/store.rs
@@ -5,16 +5,16 @@
 use std::sync::Mutex;
 
 use async_trait::async_trait;
-use platform::Condition;
-use platform::Error;
-use platform::Memory;
-use platform::Outcome;
-use platform::Row;
-use platform::Table;
-use platform::Write;
 use settings::Answer;
 use settings::Snapshot;
 use settings::Store;
+use store::Condition;
+use store::Error;
+use store::Memory;
+use store::Outcome;
+use store::Row;
+use store::Table;
+use store::Write;
 use test_case::test_case;
 
 use crate::sample::change;
--- a/crates/standin/src/store/routes.rs
+++ b/crates/standin/src/store/routes.rs
@@ -20,16 +20,16 @@
 use axum::routing::get;
 use axum::routing::post;
 use futures::stream;
-use platform::Condition;
-use platform::Error;
-use platform::Machine;
-use platform::Objects;
-use platform::Roster;
-use platform::Table;
-use platform::Write;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use store::Condition;
+use store::Error;
+use store::Machine;
+use store::Objects;
+use store::Roster;
+use store::Table;
+use store::Write;
 
 use super::Service;
 
--- a/crates/standin/src/store/service.rs
+++ b/crates/standin/src/store/service.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use platform::Machine;
-use platform::Memory;
+use store::Machine;
+use store::Memory;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
