--- a/crates/account/src/key/keyring.rs
+++ b/crates/account/src/key/keyring.rs
@@ -10,8 +10,8 @@
 
 use crate::key::Verifier;
 
-/// The verifiers in force, by account and key id.
-pub type Keys = BTreeMap<Arc<str>, BTreeMap<Arc<str>, Verifier>>;
+/// What checks the keys in force, by account and key id.
+pub type Keys<V = Verifier> = BTreeMap<Arc<str>, BTreeMap<Arc<str>, V>>;
 
 /// What an instance does when it cannot know whether a key was withdrawn.
 #[derive(
@@ -58,16 +58,16 @@
 
 /// The keys in force at a settings revision, and how long they are known to be.
 #[derive(Clone, Debug)]
-pub struct Keyring {
+pub struct Keyring<V = Verifier> {
     policy: Policy,
     /// The revision of `keys`; it never goes back.
     revision: u64,
-    keys: Keys,
+    keys: Keys<V>,
     /// The keys are known to be current before this time.
     known_until: Time,
 }
 
-impl Keyring {
+impl<V> Keyring<V> {
     /// Opens a keyring that knows no key.
     pub fn open(policy: Policy) -> Self {
         Self {
@@ -79,7 +79,7 @@
     }
 
     /// Puts the keys of a settings revision in force; an older revision changes nothing.
-    pub fn on_settings(&mut self, revision: u64, policy: Policy, keys: Keys) {
+    pub fn on_settings(&mut self, revision: u64, policy: Policy, keys: Keys<V>) {
         if revision <= self.revision {
             return;
         }
@@ -110,8 +110,8 @@
         self.revision
     }
 
-    /// Returns the verifiers of an account to check a SCRAM exchange against.
-    pub fn verifiers(&self, account: &str) -> impl Iterator<Item = &Verifier> {
+    /// Returns what an account's keys are checked against.
+    pub fn verifiers(&self, account: &str) -> impl Iterator<Item = &V> {
         self.keys
             .get(account)
             .into_iter()
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,10 +1,12 @@
 //! Monotonic time as a value, and the border trait by which processes read it.
 
+mod boot;
 mod clock;
 mod manual;
 mod system;
 mod time;
 
+pub use boot::Boot;
 pub use clock::Clock;
 pub use manual::Manual;
 pub use system::System;
--- /dev/null
+++ b/crates/relay/src/border/connector.rs
@@ -0,0 +1,63 @@
+//! The border to database servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use endpoint::Position;
+use endpoint::Role;
+
+use crate::Error;
+use crate::message::Reply;
+use crate::message::Request;
+
+/// A server to connect to, and for whom.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The database group.
+    pub group: Arc<str>,
+    /// The server's id; another server at the same address refuses the connection.
+    pub server: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The client account whose statements the connection carries.
+    pub account: Arc<str>,
+}
+
+/// What a server reports about its replication.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Status {
+    /// What it takes itself for.
+    pub role: Role,
+    /// Its term.
+    pub term: u64,
+    /// The last position that it received.
+    pub received: Position,
+    /// The term under which it was paused, 0 if it receives.
+    pub paused: u64,
+}
+
+/// One connection to one server.
+///
+/// After an error, or if a future was dropped, it must not be used again.
+#[async_trait]
+pub trait Connection: Send + Sync {
+    /// Sends requests in one go.
+    async fn send(&mut self, requests: &[Request]) -> Result<(), Error>;
+
+    /// Receives the answer to the oldest request without one.
+    async fn receive(&mut self) -> Result<Reply, Error>;
+
+    /// Reads the replication state out of the answer to a status request.
+    fn status(&self, reply: &Reply) -> Option<Status>;
+
+    /// Returns false if the server is known to have closed an idle connection.
+    fn is_open(&mut self) -> bool;
+}
+
+/// Opens connections to servers.
+#[async_trait]
+pub trait Connector: Send + Sync {
+    /// Opens a connection; a refusal by the server is `Error::Refused`.
+    async fn open(&self, target: &Target) -> Result<Box<dyn Connection>, Error>;
+}
--- /dev/null
+++ b/crates/relay/src/failover/duty.rs
@@ -0,0 +1,109 @@
+//! The row that says which instance replaces a group's primary.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use clock::Span;
+use clock::Time;
+use serde::Deserialize;
+use serde::Serialize;
+use store::Condition;
+use store::Row;
+use store::Write;
+
+use crate::node::lock;
+
+/// The prefix of the rows.
+const PREFIX: &str = "duty/";
+/// A holder that has not changed its row for this long while at work is taken to be dead; a
+/// replacement takes about a second, and a long one renews the row.
+const ABANDONED: Span = Span::from_millis(3_500);
+/// A holder of an earlier replacement goes first for this long, so that the duty seldom moves.
+const PRECEDENCE: Span = Span::from_millis(600);
+
+/// Whether a holder is at work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// A replacement is under way.
+    Working,
+    /// The last replacement has ended.
+    Done,
+}
+
+/// The content of the row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    /// The instance.
+    pub holder: Arc<str>,
+    /// The life of the instance.
+    pub life: u64,
+    /// The fencing token; grows each time that the duty is taken, and is never used twice.
+    pub token: u64,
+    /// Whether the holder is at work.
+    pub phase: Phase,
+}
+
+impl Duty {
+    /// Reads a row.
+    pub fn read(row: &Row) -> Option<Self> {
+        serde_json::from_str(&row.value).ok()
+    }
+
+    /// Returns the key of a group's row.
+    pub fn key(group: &str) -> Arc<str> {
+        Arc::from(format!("{PREFIX}{group}"))
+    }
+
+    /// Returns the condition and the write that put this duty in place of `before`.
+    pub fn replace(&self, group: &str, before: Option<&Row>) -> (Condition, Write) {
+        let key = Self::key(group);
+        let condition = match before {
+            Some(row) => Condition::Version {
+                key: Arc::clone(&key),
+                version: row.version,
+            },
+            None => Condition::Absent {
+                key: Arc::clone(&key),
+            },
+        };
+        let value = serde_json::to_string(self).expect("a duty has only plain values");
+        let write = Write::Put {
+            key,
+            value: Arc::from(value),
+        };
+        (condition, write)
+    }
+}
+
+/// When this instance first saw the current version of each group's row.
+#[derive(Debug, Default)]
+pub struct Duties {
+    seen: Mutex<BTreeMap<Arc<str>, (u64, Time)>>,
+}
+
+impl Duties {
+    /// Decides whether an instance may take the duty that `row` shows, as read at `now`.
+    pub fn may_take(&self, now: Time, group: &Arc<str>, row: Option<&Row>, life: u64) -> bool {
+        let Some(row) = row else {
+            return true;
+        };
+        let first = {
+            let mut seen = lock(&self.seen);
+            let entry = seen
+                .entry(Arc::clone(group))
+                .or_insert((row.version, now));
+            if entry.0 != row.version {
+                *entry = (row.version, now);
+            }
+            entry.1
+        };
+        match Duty::read(row) {
+            Some(duty) if duty.life == life => true,
+            Some(duty) if duty.phase == Phase::Working => now >= first + ABANDONED,
+            Some(_) => now >= first + PRECEDENCE,
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/failover/replacement.rs
@@ -0,0 +1,422 @@
+//! The replacement of a group's primary, step by step.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use clock::Time;
+use endpoint::Position;
+use endpoint::Role;
+use futures::future::join_all;
+use store::Outcome;
+use store::Row;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::border::Order;
+use crate::border::Status;
+use crate::border::Target;
+use crate::border::Verdict;
+use crate::failover::Choice;
+use crate::failover::Duty;
+use crate::failover::Phase;
+use crate::failover::Reason;
+use crate::failover::Sight;
+use crate::failover::Survey;
+use crate::group::Group;
+use crate::group::Server;
+use crate::message::Request;
+use crate::message::Statement;
+use crate::node::Node;
+use crate::node::lock;
+use crate::task;
+
+/// Longest wait for other instances' opinions; a round trip between zones takes 3 ms.
+const OPINION_WAIT: Duration = Duration::from_millis(80);
+/// Longest wait for a call to the table.
+const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest wait for a server's answer to an order or a status question.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to a promotion.
+const PROMOTE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause between two tries of a step.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// How often a step is tried before the duty is given up; a new try takes a new token.
+const TRIES: u32 = 60;
+/// How long a promoted server may take to prove itself.
+const PROOF_WAIT: Duration = Duration::from_millis(2_500);
+/// The row is renewed after this many tries, so that nobody takes the holder for dead.
+const TRIES_PER_RENEWAL: u32 = 8;
+
+/// Looks whether the primary is to be replaced, and starts that.
+pub async fn look(node: &Arc<Node>, group: &Arc<Group>) {
+    let now = node.now();
+    let is_cut_off = !lock(&node.rotation).is_ready();
+    let is_leaving = node.is_leaving.load(Ordering::Relaxed);
+    if is_cut_off || is_leaving || group.servers().is_empty() {
+        return;
+    }
+    let sight = sight(now, group);
+    let Some(reason) = lock(&group.suspicion).step(now, &sight) else {
+        return;
+    };
+    if group.is_in_failover.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let node = Arc::clone(node);
+    let group = Arc::clone(group);
+    tokio::spawn(async move {
+        let replacement = Replacement {
+            node: &node,
+            group: &group,
+            reason,
+            old: group.leader(),
+        };
+        replacement.run().await;
+        lock(&group.suspicion).on_tried(node.now());
+        group.is_in_failover.store(false, Ordering::Relaxed);
+    });
+}
+
+fn sight(now: Time, group: &Group) -> Sight {
+    let proven = lock(&group.lead).proven();
+    let Some(leader) = group.leader() else {
+        return Sight::default();
+    };
+    let vitals = lock(&leader.vitals);
+    Sight {
+        is_known: true,
+        is_leaving: leader.is_draining(),
+        proven,
+        heard: vitals.heard,
+        is_stuck: vitals.is_stuck(now),
+    }
+}
+
+/// One try to replace a primary.
+struct Replacement<'a> {
+    node: &'a Arc<Node>,
+    group: &'a Arc<Group>,
+    reason: Reason,
+    old: Option<Arc<Server>>,
+}
+
+impl Replacement<'_> {
+    async fn run(&self) {
+        let opinions = self
+            .node
+            .peers
+            .ask(self.node, &self.group.name, OPINION_WAIT)
+            .await;
+        let old = self.old.as_ref().map(|old| &old.name);
+        let vouchers = opinions
+            .iter()
+            .filter(|opinion| opinion.leader.is_some() && opinion.leader.as_ref() == old)
+            .count();
+        let newer = opinions
+            .iter()
+            .filter(|opinion| opinion.leader.is_some() && opinion.leader.as_ref() != old)
+            .count();
+        let is_vouched = vouchers * 2 > opinions.len() + 1;
+        if (self.reason == Reason::Silent && is_vouched) || newer > 0 {
+            log::info!(
+                "event=failover-put-off group={} reason={} vouchers={vouchers} newer={newer} asked={}",
+                self.group.name,
+                self.reason,
+                opinions.len()
+            );
+            if newer > 0
+                && let Some(old) = old
+            {
+                self.group.on_deposed(old);
+            }
+            return;
+        }
+        let acknowledged = opinions
+            .iter()
+            .map(|opinion| opinion.acknowledged)
+            .fold(lock(&self.group.lead).acknowledged(), Position::max);
+        let Some(mut held) = self.take_duty().await else {
+            return;
+        };
+        log::info!(
+            "event=failover-begun group={} reason={} old={} token={} acknowledged={acknowledged}",
+            self.group.name,
+            self.reason,
+            old.map_or("-", |old| old),
+            held.duty.token
+        );
+        let begun = self.node.now();
+        let promoted = self.replace(&mut held, acknowledged).await;
+        log::info!(
+            "event=failover-ended group={} promoted={} token={} ms={}",
+            self.group.name,
+            promoted.as_deref().unwrap_or("-"),
+            held.duty.token,
+            self.node.now().since(begun).as_millis()
+        );
+        self.write_duty(&mut held, Phase::Done).await;
+    }
+
+    /// Replaces the primary under a held duty; returns the new one.
+    async fn replace(&self, held: &mut Held, acknowledged: Position) -> Option<Arc<str>> {
+        if self.reason == Reason::Leaving
+            && let Some(old) = &self.old
+        {
+            // An order for the present primary changes nothing; it shows that orders can be given
+            // before the primary's log is ended.
+            self.order(held, &old.name, 3).await?;
+        }
+        let mut survey = Survey {
+            sync_replicas: lock(&self.group.settings).sync_replicas,
+            acknowledged,
+            ..Survey::default()
+        };
+        for tries in 1..=TRIES {
+            self.survey(&mut survey).await;
+            if let Some(leader) = self.newer_leader() {
+                self.resume().await;
+                return Some(leader);
+            }
+            match survey.choose() {
+                Choice::Promote(chosen) => {
+                    log::info!(
+                        "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
+                        self.group.name
+                    );
+                    self.order(held, &chosen, TRIES).await?;
+                    self.confirm(&chosen).await;
+                    self.resume().await;
+                    return Some(chosen);
+                }
+                Choice::Wait { why } => {
+                    if tries == 1 || tries % TRIES_PER_RENEWAL == 0 {
+                        log::info!(
+                            "event=failover-waits group={} why=\"{why}\" survey=\"{survey:?}\"",
+                            self.group.name
+                        );
+                    }
+                }
+            }
+            if tries % TRIES_PER_RENEWAL == 0 && !self.write_duty(held, Phase::Working).await {
+                return None;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// Returns the leader if another one than the old has shown itself.
+    fn newer_leader(&self) -> Option<Arc<str>> {
+        let leader = self.group.leader()?;
+        let is_old = self.old.as_ref().is_some_and(|old| old.name == leader.name);
+        (!is_old).then(|| Arc::clone(&leader.name))
+    }
+
+    /// Stops what can still acknowledge commits, and asks how far each log has come.
+    async fn survey(&self, survey: &mut Survey) {
+        survey.holders = self.group.holders(self.node.now());
+        let servers = self.group.servers();
+        survey.leaving = servers
+            .iter()
+            .filter(|server| server.is_draining())
+            .map(|server| Arc::clone(&server.name))
+            .collect();
+        let term = lock(&self.group.lead).term().max(survey.acknowledged.term) + 1;
+        let is_planned = self.reason == Reason::Leaving;
+        let asked = servers.iter().map(|server| async move {
+            let is_old = self.old.as_ref().is_some_and(|old| old.name == server.name);
+            let statement = match (is_old, is_planned) {
+                (true, _) => Statement::Demote { term },
+                (false, true) => Statement::Status,
+                (false, false) => Statement::Pause { term },
+            };
+            (server, is_old, self.control(server, &statement).await)
+        });
+        for (server, is_old, status) in join_all(asked).await {
+            let Some(status) = status else {
+                continue;
+            };
+            let name = Arc::clone(&server.name);
+            if status.role == Role::Primary {
+                // It leads under a term that is not known here yet.
+                task::leader::ask(self.node, self.group, server).await;
+            } else if is_old {
+                survey.demoted = Some((name, status.received));
+            } else if status.paused > 0 {
+                survey.following.remove(&name);
+                survey.paused.insert(name, status.received);
+            } else {
+                survey.paused.remove(&name);
+                survey.following.insert(name, status.received);
+            }
+        }
+    }
+
+    /// Gives the order until it is carried out for certain.
+    async fn order(&self, held: &Held, server: &Arc<str>, tries: u32) -> Option<()> {
+        let order = Order {
+            group: Arc::clone(&self.group.name),
+            server: Arc::clone(server),
+            holder: Arc::clone(&self.node.options.name),
+            token: held.duty.token,
+        };
+        for _ in 0..tries {
+            let given = timeout(PROMOTE_TIMEOUT, self.node.parts.promoter.promote(&order)).await;
+            log::info!(
+                "event=order group={} server={server} token={} answer=\"{given:?}\"",
+                order.group,
+                order.token
+            );
+            match given {
+                Ok(Ok(Verdict::Done)) => return Some(()),
+                Ok(Ok(Verdict::Rejected)) => return None,
+                Ok(Ok(Verdict::Later) | Err(_)) | Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+        None
+    }
+
+    /// Waits until the promoted server leads.
+    async fn confirm(&self, chosen: &Arc<str>) {
+        let deadline = Instant::now() + PROOF_WAIT;
+        while Instant::now() < deadline {
+            if let Some(server) = self.group.server(chosen) {
+                task::leader::ask(self.node, self.group, &server).await;
+            }
+            if self.newer_leader().is_some() {
+                return;
+            }
+            sleep(RETRY_PAUSE / 2).await;
+        }
+    }
+
+    /// Lets paused replicas receive again.
+    async fn resume(&self) {
+        let servers = self.group.servers();
+        let leader = self.newer_leader();
+        let resumed = servers
+            .iter()
+            .filter(|server| leader.as_ref() != Some(&server.name))
+            .map(|server| self.control(server, &Statement::Resume));
+        join_all(resumed).await;
+    }
+
+    /// Runs an order on a connection of its own, as the pool's may be stuck.
+    async fn control(&self, server: &Arc<Server>, statement: &Statement) -> Option<Status> {
+        let account = self.node.revision().accounts.keys().next().cloned()?;
+        let entry = lock(&server.entry).clone();
+        let target = Target {
+            group: Arc::clone(&self.group.name),
+            server: Arc::clone(&server.name),
+            address: entry.address,
+            account,
+        };
+        let run = async {
+            let mut connection = self.node.parts.connector.open(&target).await?;
+            let request = Request::own(statement.clone());
+            connection.send(std::slice::from_ref(&request)).await?;
+            let reply = connection.receive().await?;
+            let status = connection.status(&reply);
+            Ok::<_, crate::Error>((reply, status))
+        };
+        match timeout(CONTROL_TIMEOUT, run).await {
+            Ok(Ok((_, Some(status)))) => Some(status),
+            Ok(Ok((reply, None))) => {
+                log::info!(
+                    "event=control-refused group={} server={} statement=\"{statement:?}\" answer=\"{:?}\"",
+                    self.group.name,
+                    server.name,
+                    reply.outcome
+                );
+                None
+            }
+            failed => {
+                let why = failed.map(|ran| ran.map(|_| ()));
+                log::info!(
+                    "event=control-failed group={} server={} why=\"{why:?}\"",
+                    self.group.name,
+                    server.name
+                );
+                None
+            }
+        }
+    }
+
+    /// Takes the duty; `None` if another instance has it or the table does not answer.
+    async fn take_duty(&self) -> Option<Held> {
+        let key = Duty::key(&self.group.name);
+        let row = self.read_duty(&key).await?;
+        let now = self.node.now();
+        let life = self.node.life;
+        if !self
+            .node
+            .duties
+            .may_take(now, &self.group.name, row.as_ref(), life)
+        {
+            return None;
+        }
+        let before = row.as_ref().and_then(Duty::read);
+        let duty = Duty {
+            holder: Arc::clone(&self.node.options.name),
+            life,
+            token: before.map_or(1, |before| before.token + 1),
+            phase: Phase::Working,
+        };
+        let (condition, write) = duty.replace(&self.group.name, row.as_ref());
+        let commit = self.node.parts.table.commit(vec![condition], vec![write]);
+        match timeout(TABLE_TIMEOUT, commit).await {
+            Ok(Ok(Outcome::Committed { version })) => Some(Held { duty, version }),
+            Ok(Ok(Outcome::Conflict { .. })) => None,
+            failed => {
+                log::info!("event=duty-in-doubt group={} why=\"{failed:?}\"", self.group.name);
+                let row = self.read_duty(&key).await??;
+                let is_ours = Duty::read(&row).is_some_and(|read| read == duty);
+                is_ours.then_some(Held {
+                    duty,
+                    version: row.version,
+                })
+            }
+        }
+    }
+
+    async fn read_duty(&self, key: &str) -> Option<Option<Row>> {
+        match timeout(TABLE_TIMEOUT, self.node.parts.table.get(key)).await {
+            Ok(Ok(row)) => Some(row),
+            failed => {
+                log::info!("event=duty-unread group={} why=\"{failed:?}\"", self.group.name);
+                None
+            }
+        }
+    }
+
+    /// Writes the duty again; returns whether this instance still holds it.
+    async fn write_duty(&self, held: &mut Held, phase: Phase) -> bool {
+        held.duty.phase = phase;
+        let before = Row {
+            key: Duty::key(&self.group.name),
+            value: Arc::from(""),
+            version: held.version,
+        };
+        let (condition, write) = held.duty.replace(&self.group.name, Some(&before));
+        let commit = self.node.parts.table.commit(vec![condition], vec![write]);
+        match timeout(TABLE_TIMEOUT, commit).await {
+            Ok(Ok(Outcome::Committed { version })) => {
+                held.version = version;
+                true
+            }
+            failed => {
+                log::info!("event=duty-unwritten group={} why=\"{failed:?}\"", self.group.name);
+                false
+            }
+        }
+    }
+}
+
+/// A duty that this instance holds.
+struct Held {
+    duty: Duty,
+    /// The version of the row.
+    version: u64,
+}
--- /dev/null
+++ b/crates/relay/src/failover/survey.rs
@@ -0,0 +1,93 @@
+//! Which server may become the primary without losing an acknowledged commit.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use endpoint::Position;
+
+/// What is known of a group whose primary is to be replaced.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Survey {
+    /// All servers that may hold acknowledged commits, the old primary among them.
+    pub holders: BTreeSet<Arc<str>>,
+    /// Replicas that hold a commit before it is acknowledged.
+    pub sync_replicas: usize,
+    /// The old primary's last position, if it was demoted and so acknowledges nothing more.
+    pub demoted: Option<(Arc<str>, Position)>,
+    /// What replicas have received that were paused and so acknowledge nothing more.
+    pub paused: BTreeMap<Arc<str>, Position>,
+    /// What replicas have received that may go on receiving.
+    pub following: BTreeMap<Arc<str>, Position>,
+    /// The highest position of a commit known to have been acknowledged.
+    pub acknowledged: Position,
+    /// Servers that are about to leave; one of them is only chosen if no other will do.
+    pub leaving: BTreeSet<Arc<str>>,
+}
+
+/// What to do about the primary.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Make this server the primary.
+    Promote(Arc<str>),
+    /// An acknowledged commit could be lost; wait until more is known.
+    Wait {
+        /// What is missing.
+        why: &'static str,
+    },
+}
+
+impl Survey {
+    /// Chooses a server that holds every acknowledged commit.
+    ///
+    /// A commit is acknowledged once the primary and `sync_replicas` others hold it. It is in the
+    /// log of a server that has all of a demoted primary's log, or in the longest of the paused
+    /// logs if no more than `sync_replicas` holders are missing from these.
+    pub fn choose(&self) -> Choice {
+        if let Some(chosen) = self.successor_of_demoted() {
+            return Choice::Promote(chosen);
+        }
+        let missing = self
+            .holders
+            .iter()
+            .filter(|name| !self.paused.contains_key(*name))
+            .count();
+        if missing > self.sync_replicas {
+            return Choice::Wait {
+                why: "too few servers answer",
+            };
+        }
+        let Some(longest) = self.paused.values().max().copied() else {
+            return Choice::Wait {
+                why: "no replica answers",
+            };
+        };
+        if longest < self.acknowledged {
+            return Choice::Wait {
+                why: "no replica holds the last acknowledged commit",
+            };
+        }
+        self.best(&self.paused, longest).map_or(
+            Choice::Wait {
+                why: "no replica answers",
+            },
+            Choice::Promote,
+        )
+    }
+
+    fn successor_of_demoted(&self) -> Option<Arc<str>> {
+        let (old, end) = self.demoted.as_ref()?;
+        let mut logs = self.following.clone();
+        logs.extend(self.paused.clone());
+        logs.remove(old);
+        self.best(&logs, *end)
+    }
+
+    /// Returns a server whose log reaches `end`, one that stays if there is one.
+    fn best(&self, logs: &BTreeMap<Arc<str>, Position>, end: Position) -> Option<Arc<str>> {
+        logs.iter()
+            .filter(|(_, position)| **position >= end)
+            .min_by_key(|(name, _)| self.leaving.contains(*name))
+            .map(|(name, _)| Arc::clone(name))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/group/group.rs
@@ -0,0 +1,244 @@
+//! One database group, as seen by one instance.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+
+use clock::Clock;
+use clock::Span;
+use clock::Time;
+use endpoint::Position;
+use endpoint::Role;
+use tokio::sync::Notify;
+
+use crate::border::Connector;
+use crate::border::Target;
+use crate::failover::Suspicion;
+use crate::group::Lead;
+use crate::group::Server;
+use crate::group::Vitals;
+use crate::node::lock;
+use crate::pool::Pool;
+use crate::settings;
+
+/// A server whose entry vanished still counts as a holder of commits for this long: a crashed
+/// one is back with its log well before.
+const REMEMBERED: Span = Span::from_secs(30);
+/// What a read at the leader costs in comparison, in units of one waiting request: the leader
+/// also has all writes.
+const LEADER_COST: usize = 3;
+/// What opening a connection costs in comparison.
+const OPEN_COST: usize = 2;
+/// What another availability zone costs in comparison.
+const ZONE_COST: usize = 1;
+
+/// One database group.
+pub struct Group {
+    /// The group's name.
+    pub name: Arc<str>,
+    /// The settings in force for it.
+    pub settings: Mutex<settings::Group>,
+    /// Who leads it.
+    pub lead: Mutex<Lead>,
+    /// Its servers, by id.
+    servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
+    /// When the entries of other members vanished, by id.
+    vanished: Mutex<BTreeMap<Arc<str>, Time>>,
+    /// Notified when the leader or the servers change.
+    pub changed: Notify,
+    /// Whether the leader is to be replaced.
+    pub suspicion: Mutex<Suspicion>,
+    /// Whether this instance is replacing the leader.
+    pub is_in_failover: AtomicBool,
+    connector: Arc<dyn Connector>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Group {
+    /// Opens a group without servers.
+    pub fn open(
+        name: &Arc<str>,
+        settings: settings::Group,
+        connector: Arc<dyn Connector>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            name: Arc::clone(name),
+            settings: Mutex::new(settings),
+            lead: Mutex::default(),
+            servers: Mutex::default(),
+            vanished: Mutex::default(),
+            changed: Notify::new(),
+            suspicion: Mutex::default(),
+            is_in_failover: AtomicBool::new(false),
+            connector,
+            clock,
+        })
+    }
+
+    /// Returns the servers.
+    pub fn servers(&self) -> Vec<Arc<Server>> {
+        lock(&self.servers).values().cloned().collect()
+    }
+
+    /// Returns a server.
+    pub fn server(&self, name: &str) -> Option<Arc<Server>> {
+        lock(&self.servers).get(name).cloned()
+    }
+
+    /// Returns the leader.
+    pub fn leader(&self) -> Option<Arc<Server>> {
+        let name = lock(&self.lead).server().cloned()?;
+        self.server(&name)
+    }
+
+    /// Takes a server's entry, `None` once it is gone.
+    pub fn on_entry(&self, name: &Arc<str>, entry: Option<settings::Server>) {
+        let Some(entry) = entry else {
+            self.remove(name);
+            return;
+        };
+        lock(&self.vanished).remove(name);
+        let known = self.server(name);
+        if let Some(server) = known {
+            let mut held = lock(&server.entry);
+            if held.born == entry.born && held.address == entry.address {
+                let was_draining = held.is_draining;
+                if entry.is_draining && !was_draining {
+                    log::info!("event=server-draining group={} server={name}", self.name);
+                }
+                *held = entry;
+                drop(held);
+                self.changed.notify_waiters();
+                return;
+            }
+            drop(held);
+            server.pool.close();
+        }
+        log::info!(
+            "event=server-joined group={} server={name} address={} role={} born={}",
+            self.name,
+            entry.address,
+            entry.role,
+            entry.born
+        );
+        let vitals: Arc<Mutex<Vitals>> = Arc::default();
+        let target = Target {
+            group: Arc::clone(&self.name),
+            server: Arc::clone(name),
+            address: entry.address,
+            account: Arc::from(""),
+        };
+        let pool = Pool::open(
+            target,
+            Arc::clone(&self.connector),
+            Arc::clone(&vitals),
+            Arc::clone(&self.clock),
+        );
+        let server = Server {
+            name: Arc::clone(name),
+            entry: Mutex::new(entry),
+            vitals,
+            pool,
+        };
+        lock(&self.servers).insert(Arc::clone(name), Arc::new(server));
+        self.changed.notify_waiters();
+    }
+
+    /// Sets how many connections this instance may hold to each server.
+    pub fn set_share(&self, connections: usize) {
+        for server in self.servers() {
+            server.pool.set_limit(connections);
+        }
+    }
+
+    /// Returns the ids of all servers that may hold acknowledged commits.
+    pub fn holders(&self, now: Time) -> BTreeSet<Arc<str>> {
+        let mut holders: BTreeSet<Arc<str>> = lock(&self.servers).keys().cloned().collect();
+        let mut vanished = lock(&self.vanished);
+        vanished.retain(|_, at| now < *at + REMEMBERED);
+        holders.extend(vanished.keys().cloned());
+        holders
+    }
+
+    /// Returns servers that take themselves for the primary, else all, to look for the leader.
+    pub fn suspects(&self) -> Vec<Arc<Server>> {
+        let (mut first, rest): (Vec<_>, Vec<_>) = self
+            .servers()
+            .into_iter()
+            .partition(|server| lock(&server.entry).role == Role::Primary);
+        first.extend(rest);
+        first
+    }
+
+    /// Returns the best server for a read that needs `floor`, but for those in `tried`.
+    pub fn reader(
+        &self,
+        now: Time,
+        floor: Position,
+        account: &str,
+        zone: &str,
+        tried: &BTreeSet<Arc<str>>,
+    ) -> Option<Arc<Server>> {
+        let leader = lock(&self.lead).server().cloned();
+        self.servers()
+            .into_iter()
+            .filter(|server| !tried.contains(&server.name) && !server.is_draining())
+            .filter(|server| lock(&server.vitals).suits(now, floor))
+            .min_by_key(|server| {
+                let is_leader = leader.as_ref() == Some(&server.name);
+                let waiting = lock(&server.vitals).waiting() + server.pool.waiting();
+                let must_open = !server.pool.has_idle(account);
+                let is_far = *server.zone() != *zone;
+                waiting
+                    + usize::from(is_leader) * LEADER_COST
+                    + usize::from(must_open) * OPEN_COST
+                    + usize::from(is_far) * ZONE_COST
+            })
+    }
+
+    /// Takes an answer that only a leader gives.
+    pub fn on_proof(&self, sent: Time, server: &Arc<str>, position: Position) {
+        let is_new = lock(&self.lead).on_proof(sent, server, position);
+        if is_new {
+            log::info!(
+                "event=leader-known group={} server={server} position={position}",
+                self.name
+            );
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes note of a commit that the leader acknowledged.
+    pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
+        self.on_proof(sent, server, position);
+        lock(&self.lead).on_acknowledged(position);
+    }
+
+    /// Takes note that a server does not lead.
+    pub fn on_deposed(&self, server: &str) {
+        if lock(&self.lead).on_deposed(server) {
+            log::info!("event=leader-lost group={} server={server}", self.name);
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn remove(&self, name: &Arc<str>) {
+        let Some(server) = lock(&self.servers).remove(name) else {
+            return;
+        };
+        let is_planned = server.is_draining();
+        log::info!(
+            "event=server-gone group={} server={name} was_draining={is_planned}",
+            self.name
+        );
+        if !is_planned {
+            lock(&self.vanished).insert(Arc::clone(name), self.clock.now());
+        }
+        server.pool.close();
+        self.on_deposed(name);
+        self.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/relay/src/message/mod.rs
@@ -0,0 +1,15 @@
+//! Statements and answers, whatever protocol carries them.
+
+mod code;
+mod reply;
+mod request;
+
+pub use code::Code;
+pub use reply::Failure;
+pub use reply::Reply;
+pub use reply::State;
+pub use request::Access;
+pub use request::Message;
+pub use request::Request;
+pub use request::Shape;
+pub use request::Statement;
--- /dev/null
+++ b/crates/relay/src/metrics/meter.rs
@@ -0,0 +1,79 @@
+//! The counters of the process.
+
+use std::sync::Mutex;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+use crate::message::Code;
+use crate::node::lock;
+
+/// The lowest bound of the latency buckets, in seconds.
+const LATENCY_FIRST_S: f64 = 0.001;
+/// The number of latency buckets, each twice as wide as the one before.
+const LATENCY_BUCKETS: u16 = 14;
+
+/// What a statement came to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    /// `ok` or the code.
+    code: String,
+}
+
+/// The counters of the process.
+pub struct Meter {
+    registry: Mutex<Registry>,
+    requests: Family<Outcome, Counter>,
+    latency: Histogram,
+    /// Open sessions.
+    pub sessions: Gauge,
+}
+
+impl Meter {
+    /// Opens the metrics, all of them zero.
+    pub fn open() -> Self {
+        let meter = Self {
+            registry: Mutex::new(Registry::with_prefix("yuccamount")),
+            requests: Family::default(),
+            latency: Histogram::new(exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BUCKETS)),
+            sessions: Gauge::default(),
+        };
+        let mut registry = lock(&meter.registry);
+        registry.register(
+            "statements",
+            "Answered statements by code",
+            meter.requests.clone(),
+        );
+        registry.register(
+            "statement_seconds",
+            "Time from arrival to answer",
+            meter.latency.clone(),
+        );
+        registry.register("sessions", "Open sessions", meter.sessions.clone());
+        drop(registry);
+        meter
+    }
+
+    /// Counts an answered statement, `None` for a success.
+    pub fn request(&self, code: Option<Code>, micros: u64) {
+        let code = code.map_or_else(|| "ok".to_owned(), |code| code.to_string());
+        self.requests.get_or_create(&Outcome { code }).inc();
+        let time = std::time::Duration::from_micros(micros);
+        self.latency.observe(time.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &lock(&self.registry)) {
+            log::error!("event=metrics-unencodable why=\"{error}\"");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node/node.rs
@@ -0,0 +1,335 @@
+//! What the tasks and sessions of an instance share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use account::key::Decision as KeyDecision;
+use account::key::Keyring;
+use account::key::Keys;
+use account::key::Policy as KeyPolicy;
+use account::key::Unsure;
+use account::rate;
+use account::rate::Decision;
+use account::rate::Ledger;
+use clock::Time;
+use membership::Identity;
+use membership::Keeper;
+use membership::Lease;
+use membership::Phase;
+use membership::Roll;
+use tokio::sync::Notify;
+
+use crate::failover::Duties;
+use crate::group::Group;
+use crate::message::Code;
+use crate::message::Failure;
+use crate::metrics::Meter;
+use crate::node::Journal;
+use crate::node::Options;
+use crate::node::Parts;
+use crate::node::Rotation;
+use crate::peers::Peers;
+use crate::session::Job;
+use crate::settings::Revision;
+use crate::settings::Route;
+use crate::settings::Server;
+
+/// Connections that each server keeps free for the tasks that replace a leader.
+const SPARE_CONNECTIONS: usize = 2;
+
+/// What the tasks and sessions of an instance share.
+pub struct Node {
+    /// What it was told at its start.
+    pub options: Options,
+    /// The outside.
+    pub parts: Parts,
+    /// A number that no other life of the instance has.
+    pub life: u64,
+    revision: Mutex<Arc<Revision>>,
+    /// The keys in force; its revisions are those of the settings.
+    pub keyring: Mutex<Keyring<()>>,
+    /// The accounts' rates.
+    pub ledger: Mutex<Ledger>,
+    /// Notified when the ledger has something to do at once.
+    pub ledger_due: Notify,
+    /// Notified when tokens came from another instance.
+    pub tokens_came: Notify,
+    /// The instance's lease row.
+    pub keeper: Mutex<Keeper>,
+    /// The other instances.
+    pub roll: Mutex<Roll>,
+    groups: Mutex<BTreeMap<Arc<str>, Arc<Group>>>,
+    /// Entries of servers whose group the settings don't name yet.
+    entries: Mutex<BTreeMap<Arc<str>, Server>>,
+    /// Messages to other instances.
+    pub peers: Peers,
+    /// What is known of the duty to replace leaders.
+    pub duties: Duties,
+    /// Whether the instance asks for new callers.
+    pub rotation: Mutex<Rotation>,
+    /// Whether the process was told to stop.
+    pub is_leaving: AtomicBool,
+    /// Notified when sessions that rest should look whether to close.
+    pub leaving: Notify,
+    /// The counters.
+    pub meter: Meter,
+    /// The log's lines about single requests.
+    pub journal: Journal,
+}
+
+impl Node {
+    /// Opens the shared state.
+    pub fn open(options: Options, parts: Parts, peers: Peers, policy: rate::Policy) -> Arc<Self> {
+        let life = rand::random();
+        let lease = Lease {
+            name: Arc::clone(&options.name),
+            life,
+            zone: Arc::clone(&options.zone),
+            address: Arc::from(options.peer.to_string()),
+            admin: Arc::from(options.ready.to_string()),
+            lease_ms: crate::task::LEASE.as_millis(),
+            phase: Phase::Live,
+            revision: 0,
+        };
+        let identity = Identity {
+            fleet: Arc::from("yuccamount"),
+            name: Arc::clone(&options.name),
+            life,
+            zone: Arc::clone(&options.zone),
+        };
+        let keys = KeyPolicy {
+            unsure: Unsure::Refuse,
+            grace: options.key_grace,
+        };
+        let ledger = Ledger::open(&options.name, life, options.peer, policy);
+        let journal = Journal::open(Arc::clone(&parts.clock));
+        Arc::new(Self {
+            parts,
+            life,
+            revision: Mutex::default(),
+            keyring: Mutex::new(Keyring::open(keys)),
+            ledger: Mutex::new(ledger),
+            ledger_due: Notify::new(),
+            tokens_came: Notify::new(),
+            keeper: Mutex::new(Keeper::open(lease)),
+            roll: Mutex::new(Roll::open(identity)),
+            groups: Mutex::default(),
+            entries: Mutex::default(),
+            peers,
+            duties: Duties::default(),
+            rotation: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            leaving: Notify::new(),
+            meter: Meter::open(),
+            journal,
+            options,
+        })
+    }
+
+    /// Returns the time.
+    pub fn now(&self) -> Time {
+        self.parts.clock.now()
+    }
+
+    /// Returns the settings in force.
+    pub fn revision(&self) -> Arc<Revision> {
+        Arc::clone(&lock(&self.revision))
+    }
+
+    /// Returns a group.
+    pub fn group(&self, name: &str) -> Option<Arc<Group>> {
+        lock(&self.groups).get(name).cloned()
+    }
+
+    /// Returns all groups.
+    pub fn groups(&self) -> Vec<Arc<Group>> {
+        lock(&self.groups).values().cloned().collect()
+    }
+
+    /// Returns the addresses of the other live instances, by name.
+    pub fn peer_addresses(&self) -> BTreeMap<Arc<str>, SocketAddr> {
+        let now = self.now();
+        lock(&self.roll)
+            .live(now)
+            .filter_map(|member| Some((Arc::clone(&member.name), member.address.parse().ok()?)))
+            .collect()
+    }
+
+    /// Puts a revision in force, unless a newer one is.
+    pub fn apply(&self, revision: Revision) {
+        if revision.number <= self.revision().number {
+            return;
+        }
+        log::info!(
+            "event=settings-applied revision={} routes={} accounts={}",
+            revision.number,
+            revision.routes.len(),
+            revision.accounts.len()
+        );
+        let revision = Arc::new(revision);
+        *lock(&self.revision) = Arc::clone(&revision);
+        self.apply_keys(&revision);
+        let limits = revision
+            .accounts
+            .iter()
+            .map(|(name, account)| (Arc::clone(name), account.limit))
+            .collect();
+        lock(&self.ledger).on_settings(self.now(), revision.number, &limits);
+        self.apply_groups(&revision);
+    }
+
+    /// Takes a server's entry, `None` once it is gone.
+    pub fn on_entry(&self, name: &Arc<str>, entry: Option<Server>) {
+        match entry.clone() {
+            Some(entry) => lock(&self.entries).insert(Arc::clone(name), entry),
+            None => lock(&self.entries).remove(name),
+        };
+        for group in self.groups() {
+            let own = entry.clone().filter(|entry| entry.group == group.name);
+            if own.is_some() || group.server(name).is_some() {
+                group.on_entry(name, own);
+            }
+        }
+        self.share_connections();
+    }
+
+    /// Returns the ids of all entries.
+    pub fn entry_names(&self) -> Vec<Arc<str>> {
+        lock(&self.entries).keys().cloned().collect()
+    }
+
+    /// Divides each server's connections among the live instances.
+    pub fn share_connections(&self) {
+        let now = self.now();
+        let instances = 1 + lock(&self.roll).live(now).count();
+        for group in self.groups() {
+            let most = lock(&group.settings).max_connections;
+            group.set_share(most.saturating_sub(SPARE_CONNECTIONS) / instances);
+        }
+    }
+
+    /// Returns the account that a caller with this key has at a database.
+    pub fn login(&self, database: &str, key: &str) -> Result<Arc<str>, Failure> {
+        let route = self.route(database)?;
+        let revision = self.revision();
+        match revision.owner(key) {
+            Some(account) => Ok(Arc::clone(account)),
+            None if route.is_open => Ok(Arc::from("public")),
+            None => Err(Failure::new(Code::NoAccess, "the key is not in force")),
+        }
+    }
+
+    /// Returns the route in force for a database.
+    pub fn route(&self, database: &str) -> Result<Arc<Route>, Failure> {
+        let revision = self.revision();
+        let route = revision.routes.get(database);
+        route.cloned().ok_or_else(|| self.unknown_database())
+    }
+
+    /// Returns the refusal for a database without a route.
+    pub fn unknown_database(&self) -> Failure {
+        Failure::new(Code::UnknownDatabase, "no route serves the database")
+    }
+
+    /// Decides whether a statement may run under a key now.
+    pub fn may_run(&self, account: &str, key: &str, route: &Route) -> Result<(), Failure> {
+        if route.is_open {
+            return Ok(());
+        }
+        match lock(&self.keyring).check(self.now(), account, key) {
+            KeyDecision::Run => Ok(()),
+            KeyDecision::Withdrawn => {
+                Err(Failure::new(Code::NoAccess, "the key is not in force any more"))
+            }
+            KeyDecision::Unsure => {
+                let wait = self.options.retry_after.as_millis();
+                let text = format!(
+                    "it is not known whether the key is in force; not run, retry-after-ms={wait}"
+                );
+                Err(Failure::new(Code::Busy, &text))
+            }
+        }
+    }
+
+    /// Looks at the key again right before a statement is sent, as it may have waited.
+    pub fn still_allowed(&self, job: &Job<'_>) -> Option<Failure> {
+        self.may_run(job.account, job.key, job.route).err()
+    }
+
+    /// Takes a token of an account's rate, waiting a little if one is about to come.
+    pub async fn take_token(&self, account: &str) -> Result<(), Failure> {
+        let mut since = None;
+        loop {
+            let now = self.now();
+            let decision = lock(&self.ledger).admit(now, account, 1, since);
+            match decision {
+                Decision::Run => return Ok(()),
+                Decision::Refuse { retry_after } => {
+                    let wait = retry_after.as_millis();
+                    let text = format!("the account's rate is used up; not run, retry-after-ms={wait}");
+                    return Err(Failure::new(Code::Busy, &text));
+                }
+                Decision::Wait { until } => {
+                    since = since.or(Some(now));
+                    if lock(&self.ledger).is_urgent() {
+                        self.ledger_due.notify_one();
+                    }
+                    let wait: Duration = until.since(now).into();
+                    // Tokens may come earlier than expected.
+                    let _elapsed =
+                        tokio::time::timeout(wait, self.tokens_came.notified()).await;
+                }
+            }
+        }
+    }
+
+    fn apply_keys(&self, revision: &Revision) {
+        let keys: Keys<()> = revision
+            .accounts
+            .iter()
+            .map(|(name, account)| {
+                let keys = account.keys.iter().map(|key| (Arc::clone(key), ())).collect();
+                (Arc::clone(name), keys)
+            })
+            .collect();
+        let policy = KeyPolicy {
+            unsure: Unsure::Refuse,
+            grace: self.options.key_grace,
+        };
+        lock(&self.keyring).on_settings(revision.number, policy, keys);
+    }
+
+    fn apply_groups(&self, revision: &Revision) {
+        for (name, settings) in &revision.groups {
+            if let Some(group) = self.group(name) {
+                *lock(&group.settings) = settings.clone();
+                continue;
+            }
+            let group = Group::open(
+                name,
+                settings.clone(),
+                Arc::clone(&self.parts.connector),
+                Arc::clone(&self.parts.clock),
+            );
+            lock(&self.groups).insert(Arc::clone(name), Arc::clone(&group));
+            let entries = lock(&self.entries).clone();
+            for (server, entry) in entries {
+                if entry.group == *name {
+                    group.on_entry(&server, Some(entry));
+                }
+            }
+        }
+        self.share_connections();
+    }
+}
+
+/// Locks a mutex whose state stays sound even if a holder panicked.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/relay/src/node/options.rs
@@ -0,0 +1,25 @@
+//! What an instance is told at its start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use clock::Span;
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The instance's name, unique in the fleet.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where other instances reach it over UDP.
+    pub peer: SocketAddr,
+    /// Where it answers whether it is ready, and with its metrics.
+    pub ready: SocketAddr,
+    /// How long keys count as known after the store last confirmed the settings.
+    pub key_grace: Span,
+    /// How long a stopping process may still run.
+    pub stop_limit: Span,
+    /// When a caller whose statement was not run may come back.
+    pub retry_after: Span,
+}
--- /dev/null
+++ b/crates/relay/src/peers/message.rs
@@ -0,0 +1,49 @@
+//! What instances tell each other.
+
+use std::sync::Arc;
+
+use account::rate;
+use endpoint::Position;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A datagram between two instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    /// The sender.
+    pub from: Arc<str>,
+    /// The content.
+    pub content: Content,
+}
+
+/// What a datagram holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// About the accounts' rates.
+    Rate(rate::Message),
+    /// Asks how the receiver sees a group.
+    Ask {
+        /// Goes back with the opinion.
+        id: u64,
+        /// The group.
+        group: Arc<str>,
+    },
+    /// How the sender sees a group.
+    Opinion {
+        /// The number of the question.
+        id: u64,
+        /// The opinion.
+        opinion: Opinion,
+    },
+}
+
+/// How an instance sees a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Opinion {
+    /// The leader that answered it lately; `None` if none did.
+    pub leader: Option<Arc<str>>,
+    /// The newest term that it knows.
+    pub term: u64,
+    /// The highest position of a commit that was acknowledged through it.
+    pub acknowledged: Position,
+}
--- /dev/null
+++ b/crates/relay/src/peers/peers.rs
@@ -0,0 +1,156 @@
+//! Datagrams to and from other instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use clock::Span;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::Error;
+use crate::group::Group;
+use crate::node::Node;
+use crate::node::lock;
+use crate::peers::Content;
+use crate::peers::Datagram;
+use crate::peers::Opinion;
+
+/// The largest datagram; one Ethernet frame holds it.
+const DATAGRAM_BYTES: usize = 1_400;
+/// Opinions that fit into the queue of one question; a fleet has fewer instances in reach.
+const OPINIONS_MAX: usize = 64;
+/// A leader counts as seen if it proved itself this recently.
+const RECENT: Span = Span::from_millis(500);
+
+/// Datagrams to and from other instances.
+///
+/// Each may be lost, repeated or late; nothing depends on a single one.
+pub struct Peers {
+    socket: UdpSocket,
+    next: AtomicU64,
+    /// Open questions, by number.
+    asked: Mutex<BTreeMap<u64, mpsc::Sender<Opinion>>>,
+}
+
+impl Peers {
+    /// Binds the address at which other instances reach this one.
+    pub async fn bind(address: SocketAddr) -> Result<Self, Error> {
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|cause| Error::Setup {
+                step: "bind the address for peers",
+                why: format!("{address}: {cause}"),
+            })?;
+        Ok(Self {
+            socket,
+            next: AtomicU64::new(1),
+            asked: Mutex::default(),
+        })
+    }
+
+    /// Sends a datagram.
+    pub async fn send(&self, node: &Node, address: SocketAddr, content: Content) {
+        let datagram = Datagram {
+            from: Arc::clone(&node.options.name),
+            content,
+        };
+        let bytes = match postcard::to_stdvec(&datagram) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("event=datagram-unsent to={address} why=\"{error}\"");
+                return;
+            }
+        };
+        if let Err(error) = self.socket.send_to(&bytes, address).await {
+            log::debug!("event=datagram-unsent to={address} why=\"{error}\"");
+        }
+    }
+
+    /// Asks all live instances how they see a group.
+    pub async fn ask(&self, node: &Node, group: &Arc<str>, wait: Duration) -> Vec<Opinion> {
+        let addresses = node.peer_addresses();
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, mut receiver) = mpsc::channel(OPINIONS_MAX);
+        lock(&self.asked).insert(id, sender);
+        for address in addresses.values() {
+            let content = Content::Ask {
+                id,
+                group: Arc::clone(group),
+            };
+            self.send(node, *address, content).await;
+        }
+        let deadline = Instant::now() + wait;
+        let mut opinions = Vec::new();
+        while opinions.len() < addresses.len()
+            && let Ok(Some(opinion)) = tokio::time::timeout_at(deadline, receiver.recv()).await
+        {
+            opinions.push(opinion);
+        }
+        lock(&self.asked).remove(&id);
+        opinions
+    }
+}
+
+/// Takes in datagrams until the process ends.
+pub async fn run(node: Arc<Node>) {
+    let mut buffer = [0; DATAGRAM_BYTES];
+    loop {
+        let (length, address) = match node.peers.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("event=datagram-unread why=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+            Ok(datagram) => take(&node, address, datagram).await,
+            Err(error) => log::warn!("event=datagram-unknown from={address} why=\"{error}\""),
+        }
+    }
+}
+
+async fn take(node: &Arc<Node>, address: SocketAddr, datagram: Datagram) {
+    match datagram.content {
+        Content::Rate(message) => {
+            let sends = lock(&node.ledger).on_peer(node.now(), &datagram.from, message);
+            node.tokens_came.notify_waiters();
+            for send in sends {
+                node.peers
+                    .send(node, address, Content::Rate(send.message))
+                    .await;
+            }
+        }
+        Content::Ask { id, group } => {
+            if let Some(group) = node.group(&group) {
+                let opinion = opinion(node, &group);
+                node.peers
+                    .send(node, address, Content::Opinion { id, opinion })
+                    .await;
+            }
+        }
+        Content::Opinion { id, opinion } => {
+            let sender = lock(&node.peers.asked).get(&id).cloned();
+            let is_taken = sender.is_some_and(|sender| sender.try_send(opinion).is_ok());
+            if !is_taken {
+                log::debug!("event=opinion-late from={}", datagram.from);
+            }
+        }
+    }
+}
+
+fn opinion(node: &Node, group: &Group) -> Opinion {
+    let lead = lock(&group.lead);
+    let is_recent = lead.proven() + RECENT >= node.now();
+    Opinion {
+        leader: lead.server().filter(|_| is_recent).cloned(),
+        term: lead.term(),
+        acknowledged: lead.acknowledged(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,147 @@
+//! One instance, from its start to its end.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::get;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::Error;
+use crate::node::Node;
+use crate::node::Options;
+use crate::node::Parts;
+use crate::node::lock;
+use crate::peers;
+use crate::peers::Peers;
+use crate::session;
+use crate::task;
+
+/// How often groups without a watch and the rotation are looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// A stopping instance serves at least this long, until balancers have seen that it stops: they
+/// ask once a second and need two misses.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// Time kept for giving back the lease at the end of a stop.
+const RELEASE_TIME: Duration = Duration::from_millis(1_200);
+
+/// Runs one instance until `stop` ends; `ready_path` is where balancers ask whether it is ready.
+pub async fn run(
+    options: Options,
+    parts: Parts,
+    ready_path: &str,
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let peers = Peers::bind(options.peer).await?;
+    let ready = TcpListener::bind(options.ready)
+        .await
+        .map_err(|cause| Error::Setup {
+            step: "bind the ready address",
+            why: format!("{}: {cause}", options.ready),
+        })?;
+    let stop_limit: Duration = options.stop_limit.into();
+    let node = Node::open(options, parts, peers, task::rate_policy());
+    log::info!(
+        "event=started zone={} peer={} life={}",
+        node.options.zone,
+        node.options.peer,
+        node.life
+    );
+    tokio::spawn(answer_probes(Arc::clone(&node), ready, ready_path.to_owned()));
+    tokio::spawn(task::follow_revisions(Arc::clone(&node)));
+    tokio::spawn(task::follow_servers(Arc::clone(&node)));
+    tokio::spawn(task::keep_lease(Arc::clone(&node)));
+    tokio::spawn(task::step_ledger(Arc::clone(&node)));
+    tokio::spawn(peers::run(Arc::clone(&node)));
+    tokio::spawn(watch(Arc::clone(&node)));
+    tokio::spawn(accept(Arc::clone(&node)));
+    stop.await;
+    leave(&node, stop_limit).await;
+    log::info!("event=stopped");
+    Ok(())
+}
+
+async fn accept(node: Arc<Node>) {
+    loop {
+        match node.parts.listener.accept().await {
+            Ok(caller) => {
+                tokio::spawn(session::serve(Arc::clone(&node), caller));
+            }
+            Err(error) => {
+                log::warn!("event=caller-not-accepted why=\"{error}\"");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Starts a watch for each new group, and looks whether the instance can serve.
+async fn watch(node: Arc<Node>) {
+    let mut watched = BTreeSet::new();
+    loop {
+        for group in node.groups() {
+            if watched.insert(Arc::clone(&group.name)) {
+                tokio::spawn(task::leader::run(Arc::clone(&node), group));
+            }
+        }
+        let (changed, is_ready) = {
+            let mut rotation = lock(&node.rotation);
+            (rotation.step(node.now()), rotation.is_ready())
+        };
+        if changed {
+            log::info!("event=rotation ready={is_ready}");
+            node.leaving.notify_waiters();
+        }
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+async fn answer_probes(node: Arc<Node>, listener: TcpListener, path: String) {
+    let probed = Arc::clone(&node);
+    let ready = move || {
+        let node = Arc::clone(&probed);
+        async move {
+            let is_leaving = node.is_leaving.load(Ordering::Relaxed);
+            if !is_leaving && lock(&node.rotation).is_ready() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        }
+    };
+    let metrics = move || {
+        let node = Arc::clone(&node);
+        async move { node.meter.text() }
+    };
+    let router = Router::new()
+        .route(&path, get(ready))
+        .route("/metrics", get(metrics));
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("event=probes-ended why=\"{error}\"");
+    }
+}
+
+/// Ends without cutting a request: sessions close as soon as they rest.
+async fn leave(node: &Arc<Node>, limit: Duration) {
+    log::info!("event=stopping sessions={}", node.meter.sessions.get());
+    let begun = Instant::now();
+    node.is_leaving.store(true, Ordering::Relaxed);
+    lock(&node.keeper).leave(node.now());
+    let last = begun + limit.saturating_sub(RELEASE_TIME);
+    while Instant::now() < last {
+        node.leaving.notify_waiters();
+        let is_empty = node.meter.sessions.get() == 0;
+        if is_empty && Instant::now() >= begun + LINGER {
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    log::info!("event=sessions-ended left={}", node.meter.sessions.get());
+    tokio::join!(task::leave_ledger(node), task::release_lease(node));
+}
--- /dev/null
+++ b/crates/relay/src/session/session.rs
@@ -0,0 +1,362 @@
+//! One caller's session.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use clock::Time;
+use endpoint::Position;
+use tokio::time::Instant;
+
+use crate::border::Caller;
+use crate::message::Access;
+use crate::message::Code;
+use crate::message::Failure;
+use crate::message::Message;
+use crate::message::Reply;
+use crate::message::Shape;
+use crate::message::State;
+use crate::message::Statement;
+use crate::node::Node;
+use crate::node::lock;
+use crate::session::Job;
+use crate::session::Transaction;
+use crate::session::read;
+use crate::session::write;
+use crate::settings::Route;
+
+/// Prepared statements and values that one session may hold, each.
+const NAMES_MAX: usize = 256;
+
+/// One caller's session.
+pub struct Session {
+    node: Arc<Node>,
+    database: Arc<str>,
+    key: Arc<str>,
+    /// The account that held the key when the session began.
+    account: Arc<str>,
+    /// Values that were acknowledged to the caller.
+    values: BTreeMap<Arc<str>, Arc<str>>,
+    /// Prepared statements that were acknowledged to the caller.
+    prepared: BTreeMap<Arc<str>, Shape>,
+    transaction: Option<Transaction>,
+    /// The position of the session's latest commit.
+    seen: Option<Position>,
+    /// When the caller's last message was answered.
+    rested: Time,
+}
+
+/// Serves a caller until it leaves.
+pub async fn serve(node: Arc<Node>, mut caller: Box<dyn Caller>) {
+    let Some(Message::Start { database, key }) = caller.receive().await else {
+        return;
+    };
+    let account = match node.login(&database, &key) {
+        Ok(account) => account,
+        Err(failure) => {
+            log::info!("event=session-refused database={database} code={}", failure.code);
+            if let Err(error) = caller.refuse(&failure).await {
+                log::debug!("event=answer-undelivered why=\"{error}\"");
+            }
+            return;
+        }
+    };
+    if let Err(error) = caller.accept().await {
+        log::debug!("event=answer-undelivered why=\"{error}\"");
+        return;
+    }
+    node.meter.sessions.inc();
+    let mut session = Session {
+        rested: node.now(),
+        node: Arc::clone(&node),
+        database,
+        key,
+        account,
+        values: BTreeMap::new(),
+        prepared: BTreeMap::new(),
+        transaction: None,
+        seen: None,
+    };
+    session.run(&mut *caller).await;
+    if let Some(transaction) = session.transaction.take() {
+        transaction.roll_back();
+    }
+    node.meter.sessions.dec();
+}
+
+impl Session {
+    async fn run(&mut self, caller: &mut dyn Caller) {
+        loop {
+            let node = Arc::clone(&self.node);
+            let leaving = node.leaving.notified();
+            if self.transaction.is_none() && node.turns_away() {
+                return;
+            }
+            let message = tokio::select! {
+                message = caller.receive() => message,
+                () = leaving, if self.transaction.is_none() => continue,
+            };
+            let reply = match message {
+                None | Some(Message::Quit | Message::Start { .. }) => return,
+                Some(Message::TooLarge) => {
+                    let failure = Failure::new(Code::TooLarge, "send messages of at most 1 MiB");
+                    let reply = Reply::failed(failure, State::Failed);
+                    if let Err(error) = caller.send(&reply).await {
+                        log::debug!("event=answer-undelivered why=\"{error}\"");
+                    }
+                    return;
+                }
+                Some(Message::Unknown { why }) => {
+                    Reply::failed(Failure::new(Code::Malformed, &why), self.state())
+                }
+                Some(Message::Query { id, statement }) => self.answer(&id, statement).await,
+            };
+            self.rested = node.now();
+            if let Err(error) = caller.send(&reply).await {
+                log::debug!("event=answer-undelivered why=\"{error}\"");
+                return;
+            }
+            if reply.code() == Some(Code::NoAccess) {
+                return;
+            }
+        }
+    }
+
+    fn state(&self) -> State {
+        self.transaction
+            .as_ref()
+            .map_or(State::Idle, Transaction::state)
+    }
+
+    async fn answer(&mut self, id: &Arc<str>, statement: Statement) -> Reply {
+        let begun = self.node.now();
+        let reply = self.dispatch(id, statement, begun).await;
+        let micros = self.node.now().since(begun).as_micros();
+        let code = reply.code();
+        self.node.meter.request(code, micros);
+        if let Err(failure) = &reply.outcome {
+            self.node.journal.request(format_args!(
+                "event=request-failed id={id} database={} account={} code={} ms={} revision={} why=\"{}\"",
+                self.database,
+                self.account,
+                failure.code,
+                micros / 1_000,
+                self.node.revision().number,
+                failure.text
+            ));
+        }
+        reply
+    }
+
+    async fn dispatch(&mut self, id: &Arc<str>, statement: Statement, arrived: Time) -> Reply {
+        self.end_idle_transaction(arrived);
+        let state = self.state();
+        if state == State::Failed && !matches!(statement, Statement::Rollback | Statement::Commit) {
+            let failure = Failure::new(Code::Malformed, "the transaction failed; roll it back");
+            return Reply::failed(failure, state);
+        }
+        match statement {
+            Statement::Set { name, value } => {
+                if self.values.len() >= NAMES_MAX && !self.values.contains_key(&name) {
+                    return Reply::failed(too_many("values"), state);
+                }
+                self.values.insert(name, value);
+                Reply::own(state)
+            }
+            Statement::Prepare { name, shape } => {
+                if self.prepared.len() >= NAMES_MAX && !self.prepared.contains_key(&name) {
+                    return Reply::failed(too_many("prepared statements"), state);
+                }
+                self.prepared.insert(name, shape);
+                Reply::own(state)
+            }
+            Statement::Deallocate { name } => {
+                self.prepared.remove(&name);
+                Reply::own(state)
+            }
+            Statement::Begin { is_read_only } => self.begin(is_read_only, arrived).await,
+            Statement::Rollback => self.roll_back(),
+            Statement::Commit => self.commit(id, arrived).await,
+            Statement::Read { .. } | Statement::Write { .. } | Statement::Execute { .. } => {
+                self.execute(id, &statement, arrived).await
+            }
+            _ => Reply::failed(Failure::new(Code::Malformed, "not a statement"), state),
+        }
+    }
+
+    async fn begin(&mut self, is_read_only: bool, arrived: Time) -> Reply {
+        if self.transaction.is_some() {
+            let failure = Failure::new(Code::Malformed, "a transaction is open");
+            return Reply::failed(failure, self.state());
+        }
+        let route = match self.admit().await {
+            Ok(route) => route,
+            Err(failure) => return Reply::failed(failure, State::Idle),
+        };
+        let Some(group) = self.node.group(&route.group) else {
+            return Reply::failed(self.node.unknown_database(), State::Idle);
+        };
+        let transaction = Transaction::open(is_read_only, route, group, arrived);
+        self.transaction = Some(transaction);
+        Reply::own(State::Open)
+    }
+
+    fn roll_back(&mut self) -> Reply {
+        let Some(transaction) = self.transaction.take() else {
+            let failure = Failure::new(Code::Malformed, "no transaction is open");
+            return Reply::failed(failure, State::Idle);
+        };
+        transaction.roll_back();
+        Reply::own(State::Idle)
+    }
+
+    async fn commit(&mut self, id: &Arc<str>, arrived: Time) -> Reply {
+        let Some(transaction) = self.transaction.take() else {
+            let failure = Failure::new(Code::Malformed, "no transaction is open");
+            return Reply::failed(failure, State::Idle);
+        };
+        if transaction.is_failed {
+            transaction.roll_back();
+            let failure = Failure::new(Code::Aborted, "the transaction had failed");
+            return Reply::failed(failure, State::Idle);
+        }
+        if let Err(failure) = self.node.may_run(&self.account, &self.key, &transaction.route) {
+            transaction.roll_back();
+            return Reply::failed(failure, State::Idle);
+        }
+        let group = Arc::clone(&transaction.group);
+        let route = Arc::clone(&transaction.route);
+        let is_read_only = transaction.is_read_only;
+        let reply = {
+            let job = self.job(id, &Statement::Commit, None, &route, &group, arrived);
+            transaction.commit(&job).await
+        };
+        if reply.outcome.is_ok() && !is_read_only {
+            self.seen = self.seen.max(reply.position);
+        }
+        reply
+    }
+
+    async fn execute(&mut self, id: &Arc<str>, statement: &Statement, arrived: Time) -> Reply {
+        let shape = match statement {
+            Statement::Execute { name, .. } => match self.prepared.get(name) {
+                Some(shape) => Some(shape.clone()),
+                None => {
+                    let text = format!("no statement is prepared as {name}");
+                    let failure = Failure::new(Code::UnknownStatement, &text);
+                    return Reply::failed(failure, self.state());
+                }
+            },
+            _ => None,
+        };
+        if let Some(mut transaction) = self.transaction.take() {
+            let reply = self
+                .execute_in(&mut transaction, id, statement, shape.as_ref())
+                .await;
+            self.transaction = Some(transaction);
+            return reply;
+        }
+        let route = match self.admit().await {
+            Ok(route) => route,
+            Err(failure) => return Reply::failed(failure, State::Idle),
+        };
+        let Some(group) = self.node.group(&route.group) else {
+            return Reply::failed(self.node.unknown_database(), State::Idle);
+        };
+        let is_write = writes(statement, shape.as_ref());
+        let reply = {
+            let job = self.job(id, statement, shape.as_ref(), &route, &group, arrived);
+            if is_write {
+                write::run(&job).await
+            } else {
+                read::run(&job).await
+            }
+        };
+        if is_write && reply.outcome.is_ok() {
+            self.seen = self.seen.max(reply.position);
+        }
+        reply
+    }
+
+    async fn execute_in(
+        &self,
+        transaction: &mut Transaction,
+        id: &Arc<str>,
+        statement: &Statement,
+        shape: Option<&Shape>,
+    ) -> Reply {
+        let route = Arc::clone(&transaction.route);
+        let group = Arc::clone(&transaction.group);
+        if let Err(failure) = self.node.may_run(&self.account, &self.key, &route) {
+            transaction.is_failed = true;
+            return Reply::failed(failure, State::Failed);
+        }
+        let job = self.job(id, statement, shape, &route, &group, transaction.arrived);
+        transaction.run(&job).await
+    }
+
+    fn job<'a>(
+        &'a self,
+        id: &'a Arc<str>,
+        statement: &'a Statement,
+        shape: Option<&'a Shape>,
+        route: &'a Route,
+        group: &'a Arc<crate::group::Group>,
+        arrived: Time,
+    ) -> Job<'a> {
+        Job {
+            node: &self.node,
+            group,
+            route,
+            account: &self.account,
+            key: &self.key,
+            id,
+            statement,
+            shape,
+            values: &self.values,
+            arrived,
+            deadline: Instant::now() + route.statement_limit.into(),
+            seen: self.seen,
+        }
+    }
+
+    /// Decides whether an operation may begin, and returns the route in force for it.
+    async fn admit(&self) -> Result<Arc<Route>, Failure> {
+        let route = self.node.route(&self.database)?;
+        self.node.may_run(&self.account, &self.key, &route)?;
+        if !route.is_open {
+            self.node.take_token(&self.account).await?;
+        }
+        Ok(route)
+    }
+
+    /// Ends a transaction that rested for longer than the settings allow.
+    fn end_idle_transaction(&mut self, now: Time) {
+        let idle = self.node.revision().transaction_idle;
+        let Some(transaction) = &mut self.transaction else {
+            return;
+        };
+        if !transaction.is_failed && idle.as_micros() > 0 && now >= self.rested + idle {
+            transaction.end();
+        }
+    }
+}
+
+impl Node {
+    /// Returns whether sessions that rest should close.
+    fn turns_away(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed) || lock(&self.rotation).turns_away()
+    }
+}
+
+fn writes(statement: &Statement, shape: Option<&Shape>) -> bool {
+    match statement {
+        Statement::Write { .. } => true,
+        _ => shape.is_some_and(|shape| shape.access == Access::Write),
+    }
+}
+
+fn too_many(what: &str) -> Failure {
+    let text = format!("a session holds at most {NAMES_MAX} {what}");
+    Failure::new(Code::Busy, &text)
+}
--- /dev/null
+++ b/crates/relay/src/settings/mod.rs
@@ -0,0 +1,11 @@
+//! Settings and server descriptions, as the platform gives them.
+
+mod revision;
+mod server;
+
+pub use revision::Account;
+pub use revision::Freshness;
+pub use revision::Group;
+pub use revision::Revision;
+pub use revision::Route;
+pub use server::Server;
--- /dev/null
+++ b/crates/relay/src/task/ledger.rs
@@ -0,0 +1,114 @@
+//! Drives the ledger of the accounts' rates.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use account::rate::Action;
+use account::rate::PREFIX;
+use account::rate::Policy;
+use clock::Span;
+use futures::future::BoxFuture;
+use store::Error;
+use tokio::time::timeout;
+
+use crate::node::Node;
+use crate::node::lock;
+use crate::peers::Content;
+
+/// Longest time between two steps; loans are asked for at once when a request waits.
+const STEP_EVERY: Duration = Duration::from_millis(50);
+/// Longest wait for a planned stop to give the slices back.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A table call without an answer for this long counts as unanswered.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Returns the ledger's times for a table whose calls are priced: fewer renewals and reads, and
+/// leases that are longer to match.
+pub fn policy() -> Policy {
+    Policy {
+        lease: Span::from_secs(6),
+        renew: Span::from_secs(2),
+        read: Span::from_millis(1_500),
+        read_gap: Span::from_secs(4),
+        promise: Span::from_secs(6),
+        ..Policy::default()
+    }
+}
+
+/// Steps the ledger until the process ends.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        // Woken or not, the ledger looks what is due.
+        let _elapsed = timeout(STEP_EVERY, node.ledger_due.notified()).await;
+        let peers = node.peer_addresses().into_keys().collect();
+        let actions = {
+            let mut ledger = lock(&node.ledger);
+            ledger.on_peers(peers);
+            ledger.tick(node.now())
+        };
+        carry_out(&node, actions).await;
+    }
+}
+
+/// Gives the slices back at a planned stop.
+pub async fn leave(node: &Arc<Node>) {
+    lock(&node.ledger).leave(node.now());
+    node.ledger_due.notify_one();
+    let given_back = async {
+        while !lock(&node.ledger).has_left() {
+            tokio::time::sleep(STEP_EVERY).await;
+        }
+    };
+    if timeout(LEAVE_TIMEOUT, given_back).await.is_err() {
+        log::warn!("event=slices-kept why=\"the table did not answer in time\"");
+    }
+}
+
+fn carry_out(node: &Arc<Node>, actions: Vec<Action>) -> BoxFuture<'_, ()> {
+    Box::pin(carry_out_all(node, actions))
+}
+
+async fn carry_out_all(node: &Arc<Node>, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Send(send) => {
+                if let Some(address) = node.peer_addresses().get(&send.to).copied() {
+                    let content = Content::Rate(send.message);
+                    node.peers.send(node, address, content).await;
+                }
+            }
+            Action::Read { id } => {
+                let node = Arc::clone(node);
+                tokio::spawn(async move { read(&node, id).await });
+            }
+            Action::Commit {
+                id,
+                conditions,
+                writes,
+            } => {
+                let node = Arc::clone(node);
+                tokio::spawn(async move {
+                    let commit = node.parts.table.commit(conditions, writes);
+                    let result = timeout(CALL_TIMEOUT, commit).await;
+                    let result = result.unwrap_or_else(|_| Err(unanswered("commit slices")));
+                    lock(&node.ledger).on_commit(node.now(), id, result);
+                });
+            }
+        }
+    }
+}
+
+async fn read(node: &Arc<Node>, id: u64) {
+    let result = timeout(CALL_TIMEOUT, node.parts.table.list(PREFIX)).await;
+    let result = result.unwrap_or_else(|_| Err(unanswered("read slices")));
+    let actions = lock(&node.ledger).on_read(node.now(), id, result);
+    carry_out(node, actions).await;
+}
+
+fn unanswered(step: &'static str) -> Error {
+    Error::Unknown {
+        step,
+        peer: "table".to_owned(),
+        why: "no answer in time".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/task/mod.rs
@@ -0,0 +1,17 @@
+//! What an instance does besides serving callers.
+
+pub mod leader;
+mod lease;
+mod ledger;
+mod revisions;
+mod servers;
+
+pub use lease::LEASE;
+pub use lease::release as release_lease;
+pub use lease::run as keep_lease;
+pub use ledger::leave as leave_ledger;
+pub use ledger::policy as rate_policy;
+pub use ledger::run as step_ledger;
+pub use revisions::run as follow_revisions;
+pub use servers::Absences;
+pub use servers::run as follow_servers;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 mod objects;
 mod roster;
 mod table;
+mod watch;
 
 pub use error::Error;
 pub use http::Http;
@@ -20,3 +21,7 @@
 pub use table::Row;
 pub use table::Table;
 pub use table::Write;
+pub use watch::Batch;
+pub use watch::Change;
+pub use watch::Followed;
+pub use watch::Watch;
