Count departed servers as holders until they are known to have left

Ruled out: a late promotion, as the order was answered. Now a vanished server stays a holder until another has its address, nobody listens there, or half a minute has passed; one that still answers is paused with the others.

--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -18,6 +18,14 @@
         /// The cause.
         why: String,
     },
+    /// The host answers, and nobody listens at the address.
+    #[snafu(display("{step} at {peer}: nobody listens there"))]
+    Absent {
+        /// What was being done.
+        step: &'static str,
+        /// The other side.
+        peer: String,
+    },
     /// The peer refused.
     #[snafu(display("{step} at {peer}: refused: {code} {text}"))]
     Refused {
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -8,6 +8,7 @@
 use clock::Time;
 use endpoint::Position;
 use endpoint::Role;
+use futures::future::join;
 use futures::future::join_all;
 use store::Outcome;
 use store::Row;
@@ -27,11 +28,13 @@
 use crate::failover::Survey;
 use crate::group::Group;
 use crate::group::Server;
+use crate::message::Code;
 use crate::message::Request;
 use crate::message::Statement;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Content;
+use crate::settings;
 use crate::task;
 
 /// Longest wait for other instances' opinions; a round trip between zones takes 3 ms.
@@ -264,7 +267,20 @@
             };
             (server, is_old, self.control(server, &statement).await)
         });
-        for (server, is_old, status) in join_all(asked).await {
+        let departed = self.group.departed();
+        let (answers, departed) = join(
+            join_all(asked),
+            join_all(
+                departed
+                    .iter()
+                    .map(|(name, entry)| self.stop_departed(name, entry, term)),
+            ),
+        )
+        .await;
+        for (name, received) in departed.into_iter().flatten() {
+            survey.paused.insert(name, received);
+        }
+        for (server, is_old, status) in answers {
             let Some(status) = status else {
                 continue;
             };
@@ -284,6 +300,36 @@
         }
     }
 
+    /// Stops a server that said it leaves and whose entry has vanished, or finds that it has left.
+    async fn stop_departed(
+        &self,
+        name: &Arc<str>,
+        entry: &settings::Server,
+        term: u64,
+    ) -> Option<(Arc<str>, Position)> {
+        match self
+            .control_apart(name, entry, &Statement::Pause { term })
+            .await
+        {
+            Ok(status) => {
+                let status = status.filter(|status| status.paused > 0)?;
+                Some((Arc::clone(name), status.received))
+            }
+            // Nobody listens there, or another server does.
+            Err(
+                crate::Error::Absent { .. }
+                | crate::Error::Refused {
+                    code: Code::OtherServer,
+                    ..
+                },
+            ) => {
+                self.group.forget(name);
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
     /// Gives the order until it is carried out for certain.
     async fn order(&self, held: &Held, server: &Arc<str>, tries: u32) -> Option<()> {
         let order = Order {
@@ -360,7 +406,11 @@
         if !is_old && let Some(status) = self.control_pooled(server, statement).await {
             return Some(status);
         }
-        self.control_apart(server, statement).await
+        let entry = lock(&server.entry).clone();
+        self.control_apart(&server.name, &entry, statement)
+            .await
+            .ok()
+            .flatten()
     }
 
     /// Runs an order on a connection of the pool, if one is free.
@@ -376,12 +426,18 @@
     }
 
     /// Runs an order on a connection of its own, as the pool's may be stuck.
-    async fn control_apart(&self, server: &Arc<Server>, statement: &Statement) -> Option<Status> {
-        let account = self.node.revision().accounts.keys().next().cloned()?;
-        let entry = lock(&server.entry).clone();
+    async fn control_apart(
+        &self,
+        server: &Arc<str>,
+        entry: &settings::Server,
+        statement: &Statement,
+    ) -> Result<Option<Status>, crate::Error> {
+        let Some(account) = self.node.revision().accounts.keys().next().cloned() else {
+            return Ok(None);
+        };
         let target = Target {
             group: Arc::clone(&self.group.name),
-            server: Arc::clone(&server.name),
+            server: Arc::clone(server),
             address: entry.address,
             account,
         };
@@ -391,29 +447,28 @@
             connection.send(std::slice::from_ref(&request)).await?;
             let reply = connection.receive().await?;
             let status = connection.status(&reply);
-            Ok::<_, crate::Error>((reply, status))
-        };
-        match timeout(CONTROL_TIMEOUT, run).await {
-            Ok(Ok((_, Some(status)))) => Some(status),
-            Ok(Ok((reply, None))) => {
+            if status.is_none() {
                 log::info!(
-                    "event=control-refused group={} server={} statement=\"{statement:?}\" answer=\"{:?}\"",
+                    "event=control-refused group={} server={server} statement=\"{statement:?}\" answer=\"{:?}\"",
                     self.group.name,
-                    server.name,
                     reply.outcome
                 );
-                None
-            }
-            failed => {
-                let why = failed.map(|ran| ran.map(|_| ()));
-                log::info!(
-                    "event=control-failed group={} server={} why=\"{why:?}\"",
-                    self.group.name,
-                    server.name
-                );
-                None
             }
+            Ok(status)
+        };
+        let ran = timeout(CONTROL_TIMEOUT, run).await.unwrap_or_else(|_| {
+            Err(crate::Error::Silent {
+                step: "give an order",
+                peer: server.to_string(),
+            })
+        });
+        if let Err(error) = &ran {
+            log::info!(
+                "event=control-failed group={} server={server} why=\"{error}\"",
+                self.group.name
+            );
         }
+        ran
     }
 
     /// Takes the duty; `None` if another instance has it or the table does not answer.
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -27,6 +27,16 @@
 /// A server whose entry vanished still counts as a holder of commits for this long: a crashed
 /// one is back with its log well before.
 const REMEMBERED: Span = Span::from_secs(30);
+
+/// A server whose entry vanished.
+#[derive(Clone, Debug)]
+pub struct Vanished {
+    /// When its entry vanished.
+    pub at: Time,
+    /// What it last said of itself.
+    pub entry: settings::Server,
+}
+
 /// What a read at the leader costs in comparison, in units of one waiting request: the leader
 /// also has all writes.
 const LEADER_COST: usize = 3;
@@ -45,8 +55,8 @@
     pub lead: Mutex<Lead>,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
-    /// When the entries of other members vanished, by id.
-    vanished: Mutex<BTreeMap<Arc<str>, Time>>,
+    /// Servers whose entries vanished, by id; they may still hold commits.
+    vanished: Mutex<BTreeMap<Arc<str>, Vanished>>,
     /// Notified when the leader or the servers change.
     pub changed: Notify,
     /// Whether the leader is to be replaced.
@@ -105,6 +115,7 @@
             return;
         };
         lock(&self.vanished).remove(name);
+        self.supersede(name, &entry);
         let known = self.server(name);
         if let Some(server) = known {
             let mut held = lock(&server.entry);
@@ -162,11 +173,29 @@
     pub fn holders(&self, now: Time) -> BTreeSet<Arc<str>> {
         let mut holders: BTreeSet<Arc<str>> = lock(&self.servers).keys().cloned().collect();
         let mut vanished = lock(&self.vanished);
-        vanished.retain(|_, at| now < *at + REMEMBERED);
+        vanished.retain(|_, server| now < server.at + REMEMBERED);
         holders.extend(vanished.keys().cloned());
         holders
     }
 
+    /// Returns the servers whose entries vanished after they had said that they leave.
+    ///
+    /// One may have left, or may only be cut off from the store and still acknowledge commits.
+    pub fn departed(&self) -> Vec<(Arc<str>, settings::Server)> {
+        lock(&self.vanished)
+            .iter()
+            .filter(|(_, server)| server.entry.is_draining)
+            .map(|(name, server)| (Arc::clone(name), server.entry.clone()))
+            .collect()
+    }
+
+    /// Forgets a server that is known to have left.
+    pub fn forget(&self, name: &str) {
+        if lock(&self.vanished).remove(name).is_some() {
+            log::info!("event=server-left group={} server={name}", self.name);
+        }
+    }
+
     /// Returns servers that take themselves for the primary, else all, to look for the leader.
     pub fn suspects(&self) -> Vec<Arc<Server>> {
         let (mut first, rest): (Vec<_>, Vec<_>) = self
@@ -230,18 +259,33 @@
         }
     }
 
+    /// Drops servers whose address another one has taken over, together with their log.
+    fn supersede(&self, name: &Arc<str>, entry: &settings::Server) {
+        let is_former = |former: &Arc<str>, address| former != name && address == entry.address;
+        let formers: Vec<Arc<str>> = self
+            .servers()
+            .iter()
+            .filter(|server| is_former(&server.name, lock(&server.entry).address))
+            .map(|server| Arc::clone(&server.name))
+            .collect();
+        for former in formers {
+            self.remove(&former);
+        }
+        lock(&self.vanished).retain(|former, server| !is_former(former, server.entry.address));
+    }
+
     fn remove(&self, name: &Arc<str>) {
         let Some(server) = lock(&self.servers).remove(name) else {
             return;
         };
-        let is_planned = server.is_draining();
+        let entry = lock(&server.entry).clone();
         log::info!(
-            "event=server-gone group={} server={name} was_draining={is_planned}",
-            self.name
+            "event=server-gone group={} server={name} was_draining={}",
+            self.name,
+            entry.is_draining
         );
-        if !is_planned {
-            lock(&self.vanished).insert(Arc::clone(name), self.clock.now());
-        }
+        let at = self.clock.now();
+        lock(&self.vanished).insert(Arc::clone(name), Vanished { at, entry });
         server.pool.close();
         self.on_deposed(name);
         self.changed.notify_waiters();
