Keep departed servers as holders until a later commit; give the old primary back; close the front before the end

Departed servers now count as missing until a commit sent after they left is acknowledged, a demoted primary counts as a stopped log, and a silent primary that answers again stays (after an order for it, which fences earlier ones). Ruled out: late promotions, all orders were answered.

--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -9,6 +9,7 @@
 pub use duty::Duty;
 pub use duty::Phase;
 pub use replacement::look;
+pub use replacement::watch_departed;
 pub use survey::Choice;
 pub use survey::Survey;
 pub use suspicion::Reason;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -52,12 +52,16 @@
 /// How often replicas are tried to be resumed; a server that is back from a partition drops the
 /// connections from before within three seconds.
 const RESUME_TRIES: u32 = 40;
+/// The period of looks whether a server that said it leaves has left.
+const DEPARTED_EVERY: Duration = Duration::from_millis(1_000);
 /// How long a promoted server may take to prove itself.
 const PROOF_WAIT: Duration = Duration::from_millis(2_500);
 /// After this time an instance knows all servers that were there in the last half minute.
 const MEMORY: Span = Span::from_secs(30);
-/// The row is renewed after this many tries, so that nobody takes the holder for dead.
-const TRIES_PER_RENEWAL: u32 = 8;
+/// The row is renewed this often, so that nobody takes the holder for dead.
+const RENEWAL: Span = Span::from_millis(1_000);
+/// A try that waits is logged once in this many.
+const TRIES_PER_LINE: u32 = 8;
 
 /// Looks whether the primary is to be replaced, and starts that.
 pub async fn look(node: &Arc<Node>, group: &Arc<Group>) {
@@ -89,6 +93,32 @@
     });
 }
 
+/// Finds out which servers that said they leave have left, until the process ends.
+pub async fn watch_departed(node: Arc<Node>, group: Arc<Group>) {
+    loop {
+        sleep(DEPARTED_EVERY).await;
+        for (name, entry) in group.departed() {
+            let answer = command(&node, &group, &name, &entry, &Statement::Status).await;
+            if answer.is_err_and(|error| shows_absence(&error)) {
+                group.on_left(&name);
+            }
+        }
+    }
+}
+
+/// Returns whether an error shows that a server is not there any more.
+fn shows_absence(error: &crate::Error) -> bool {
+    // Nobody listens there, or another server does.
+    matches!(
+        error,
+        crate::Error::Absent { .. }
+            | crate::Error::Refused {
+                code: Code::OtherServer,
+                ..
+            }
+    )
+}
+
 fn sight(now: Time, group: &Group) -> Sight {
     let proven = lock(&group.lead).proven();
     let Some(leader) = group.leader() else {
@@ -207,7 +237,13 @@
             acknowledged,
             ..Survey::default()
         };
+        let mut renewed = self.node.now();
         for tries in 1..=TRIES {
+            if self.reason == Reason::Silent
+                && let Some(old) = self.old_is_back(held).await
+            {
+                return Some(old);
+            }
             self.survey(&mut survey).await;
             if let Some(leader) = self.newer_leader() {
                 return Some(leader);
@@ -224,7 +260,7 @@
                     return Some(chosen);
                 }
                 Choice::Wait { why } => {
-                    if tries == 1 || tries % TRIES_PER_RENEWAL == 0 {
+                    if tries == 1 || tries % TRIES_PER_LINE == 0 {
                         log::info!(
                             "event=failover-waits group={} why=\"{why}\" survey=\"{survey:?}\"",
                             self.group.name
@@ -232,14 +268,32 @@
                     }
                 }
             }
-            if tries % TRIES_PER_RENEWAL == 0 && !self.write_duty(held, Phase::Working).await {
-                return None;
+            if self.node.now() >= renewed + RENEWAL {
+                renewed = self.node.now();
+                if !self.write_duty(held, Phase::Working).await {
+                    return None;
+                }
             }
             sleep(RETRY_PAUSE).await;
         }
         None
     }
 
+    /// Returns the old primary if it leads again.
+    ///
+    /// An order for it changes nothing, but makes sure that no earlier order is carried out later,
+    /// when the replicas may receive again.
+    async fn old_is_back(&self, held: &Held) -> Option<Arc<str>> {
+        let old = self.old.as_ref()?;
+        let asked = self.node.now();
+        task::leader::ask(self.node, self.group, old).await;
+        if lock(&self.group.lead).proven() < asked {
+            return None;
+        }
+        self.order(held, &old.name, TRIES).await?;
+        Some(Arc::clone(&old.name))
+    }
+
     /// Returns the leader if another one than the old has shown itself.
     fn newer_leader(&self) -> Option<Arc<str>> {
         let leader = self.group.leader()?;
@@ -261,6 +315,8 @@
         let asked = servers.iter().map(|server| async move {
             let is_old = self.old.as_ref().is_some_and(|old| old.name == server.name);
             let statement = match (is_old, is_planned) {
+                // One that does not answer anyhow is left as it is, for it may be back.
+                (true, _) if self.reason == Reason::Silent => return (server, true, None),
                 (true, _) => Statement::Demote { term },
                 (false, true) => Statement::Status,
                 (false, false) => Statement::Pause { term },
@@ -307,26 +363,25 @@
         entry: &settings::Server,
         term: u64,
     ) -> Option<(Arc<str>, Position)> {
-        match self
-            .control_apart(name, entry, &Statement::Pause { term })
-            .await
+        match command(
+            self.node,
+            self.group,
+            name,
+            entry,
+            &Statement::Pause { term },
+        )
+        .await
         {
             Ok(status) => {
                 let status = status.filter(|status| status.paused > 0)?;
                 Some((Arc::clone(name), status.received))
             }
-            // Nobody listens there, or another server does.
-            Err(
-                crate::Error::Absent { .. }
-                | crate::Error::Refused {
-                    code: Code::OtherServer,
-                    ..
-                },
-            ) => {
-                self.group.forget(name);
+            Err(error) => {
+                if shows_absence(&error) {
+                    self.group.on_left(name);
+                }
                 None
             }
-            Err(_) => None,
         }
     }
 
@@ -407,7 +462,7 @@
             return Some(status);
         }
         let entry = lock(&server.entry).clone();
-        self.control_apart(&server.name, &entry, statement)
+        command(self.node, self.group, &server.name, &entry, statement)
             .await
             .ok()
             .flatten()
@@ -425,52 +480,6 @@
         status
     }
 
-    /// Runs an order on a connection of its own, as the pool's may be stuck.
-    async fn control_apart(
-        &self,
-        server: &Arc<str>,
-        entry: &settings::Server,
-        statement: &Statement,
-    ) -> Result<Option<Status>, crate::Error> {
-        let Some(account) = self.node.revision().accounts.keys().next().cloned() else {
-            return Ok(None);
-        };
-        let target = Target {
-            group: Arc::clone(&self.group.name),
-            server: Arc::clone(server),
-            address: entry.address,
-            account,
-        };
-        let run = async {
-            let mut connection = self.node.parts.connector.open(&target).await?;
-            let request = Request::own(statement.clone());
-            connection.send(std::slice::from_ref(&request)).await?;
-            let reply = connection.receive().await?;
-            let status = connection.status(&reply);
-            if status.is_none() {
-                log::info!(
-                    "event=control-refused group={} server={server} statement=\"{statement:?}\" answer=\"{:?}\"",
-                    self.group.name,
-                    reply.outcome
-                );
-            }
-            Ok(status)
-        };
-        let ran = timeout(CONTROL_TIMEOUT, run).await.unwrap_or_else(|_| {
-            Err(crate::Error::Silent {
-                step: "give an order",
-                peer: server.to_string(),
-            })
-        });
-        if let Err(error) = &ran {
-            log::info!(
-                "event=control-failed group={} server={server} why=\"{error}\"",
-                self.group.name
-            );
-        }
-        ran
-    }
-
     /// Takes the duty; `None` if another instance has it or the table does not answer.
     async fn take_duty(&self) -> Option<Held> {
         let key = Duty::key(&self.group.name);
@@ -556,3 +565,50 @@
     /// The version of the row.
     version: u64,
 }
+
+/// Runs an order on a connection of its own, as the pool's may be stuck.
+async fn command(
+    node: &Node,
+    group: &Group,
+    server: &Arc<str>,
+    entry: &settings::Server,
+    statement: &Statement,
+) -> Result<Option<Status>, crate::Error> {
+    let Some(account) = node.revision().accounts.keys().next().cloned() else {
+        return Ok(None);
+    };
+    let target = Target {
+        group: Arc::clone(&group.name),
+        server: Arc::clone(server),
+        address: entry.address,
+        account,
+    };
+    let run = async {
+        let mut connection = node.parts.connector.open(&target).await?;
+        let request = Request::own(statement.clone());
+        connection.send(std::slice::from_ref(&request)).await?;
+        let reply = connection.receive().await?;
+        let status = connection.status(&reply);
+        if status.is_none() {
+            log::info!(
+                "event=control-refused group={} server={server} statement=\"{statement:?}\" answer=\"{:?}\"",
+                group.name,
+                reply.outcome
+            );
+        }
+        Ok(status)
+    };
+    let ran = timeout(CONTROL_TIMEOUT, run).await.unwrap_or_else(|_| {
+        Err(crate::Error::Silent {
+            step: "give an order",
+            peer: server.to_string(),
+        })
+    });
+    if let Err(error) = &ran {
+        log::info!(
+            "event=control-failed group={} server={server} why=\"{error}\"",
+            group.name
+        );
+    }
+    ran
+}
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -41,23 +41,25 @@
     /// Chooses a server that holds every acknowledged commit.
     ///
     /// A commit is acknowledged once the primary and `sync_replicas` others hold it. It is in the
-    /// log of a server that has all of a demoted primary's log, or in the longest of the paused
+    /// log of a server that has all of a demoted primary's log, or in the longest of the stopped
     /// logs if no more than `sync_replicas` holders are missing from these.
     pub fn choose(&self) -> Choice {
         if let Some(chosen) = self.successor_of_demoted() {
             return Choice::Promote(chosen);
         }
+        let mut stopped = self.paused.clone();
+        stopped.extend(self.demoted.clone());
         let missing = self
             .holders
             .iter()
-            .filter(|name| !self.paused.contains_key(*name))
+            .filter(|name| !stopped.contains_key(*name))
             .count();
         if missing > self.sync_replicas {
             return Choice::Wait {
                 why: "too few servers answer",
             };
         }
-        let Some(longest) = self.paused.values().max().copied() else {
+        let Some(longest) = stopped.values().max().copied() else {
             return Choice::Wait {
                 why: "no replica answers",
             };
@@ -67,7 +69,7 @@
                 why: "no replica holds the last acknowledged commit",
             };
         }
-        self.best(&self.paused, longest).map_or(
+        self.best(&stopped, longest).map_or(
             Choice::Wait {
                 why: "no replica answers",
             },
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -28,15 +28,6 @@
 /// one is back with its log well before.
 const REMEMBERED: Span = Span::from_secs(30);
 
-/// A server whose entry vanished.
-#[derive(Clone, Debug)]
-pub struct Vanished {
-    /// When its entry vanished.
-    pub at: Time,
-    /// What it last said of itself.
-    pub entry: settings::Server,
-}
-
 /// What a read at the leader costs in comparison, in units of one waiting request: the leader
 /// also has all writes.
 const LEADER_COST: usize = 3;
@@ -45,6 +36,17 @@
 /// What another availability zone costs in comparison.
 const ZONE_COST: usize = 1;
 
+/// A server whose entry vanished.
+#[derive(Clone, Debug)]
+struct Vanished {
+    /// When its entry vanished.
+    at: Time,
+    /// What it last said of itself.
+    entry: settings::Server,
+    /// When it was found to have left for good.
+    left: Option<Time>,
+}
+
 /// One database group.
 pub struct Group {
     /// The group's name.
@@ -184,14 +186,18 @@
     pub fn departed(&self) -> Vec<(Arc<str>, settings::Server)> {
         lock(&self.vanished)
             .iter()
-            .filter(|(_, server)| server.entry.is_draining)
+            .filter(|(_, server)| server.entry.is_draining && server.left.is_none())
             .map(|(name, server)| (Arc::clone(name), server.entry.clone()))
             .collect()
     }
 
-    /// Forgets a server that is known to have left.
-    pub fn forget(&self, name: &str) {
-        if lock(&self.vanished).remove(name).is_some() {
+    /// Notes that a server is known to have left.
+    ///
+    /// Commits that only it and the primary held may still be missing elsewhere, so it counts as
+    /// a holder until a later commit is acknowledged without it.
+    pub fn on_left(&self, name: &str) {
+        if let Some(server) = lock(&self.vanished).get_mut(name) {
+            server.left = Some(self.clock.now());
             log::info!("event=server-left group={} server={name}", self.name);
         }
     }
@@ -249,6 +255,8 @@
     pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
         self.on_proof(sent, server, position);
         lock(&self.lead).on_acknowledged(position);
+        // Whoever acknowledged it has every earlier commit too.
+        lock(&self.vanished).retain(|_, server| server.left.is_none_or(|left| sent <= left));
     }
 
     /// Takes note that a server does not lead.
@@ -285,7 +293,12 @@
             entry.is_draining
         );
         let at = self.clock.now();
-        lock(&self.vanished).insert(Arc::clone(name), Vanished { at, entry });
+        let vanished = Vanished {
+            at,
+            entry,
+            left: None,
+        };
+        lock(&self.vanished).insert(Arc::clone(name), vanished);
         server.pool.close();
         self.on_deposed(name);
         self.changed.notify_waiters();
--- a/crates/relay/src/node/parts.rs
+++ b/crates/relay/src/node/parts.rs
@@ -7,7 +7,6 @@
 use store::Watch;
 
 use crate::border::Connector;
-use crate::border::Listener;
 use crate::border::Promoter;
 use crate::settings::Revision;
 use crate::settings::Server;
@@ -15,8 +14,6 @@
 /// The outside, as it is handed to an instance.
 #[derive(Clone)]
 pub struct Parts {
-    /// Where callers connect.
-    pub listener: Arc<dyn Listener>,
     /// Opens connections to servers.
     pub connector: Arc<dyn Connector>,
     /// Makes servers primaries.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -10,10 +10,13 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::Error;
+use crate::border::Listener;
+use crate::failover;
 use crate::node::Node;
 use crate::node::Options;
 use crate::node::Parts;
@@ -29,12 +32,13 @@
 /// ask once a second and need two misses.
 const LINGER: Duration = Duration::from_millis(2_500);
 /// Time kept for giving back the lease at the end of a stop.
-const RELEASE_TIME: Duration = Duration::from_millis(1_200);
+const RELEASE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Runs one instance until `stop` ends; `ready_path` is where balancers ask whether it is ready.
 pub async fn run(
     options: Options,
     parts: Parts,
+    listener: Box<dyn Listener>,
     ready_path: &str,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Error> {
@@ -64,16 +68,16 @@
     tokio::spawn(task::step_ledger(Arc::clone(&node)));
     tokio::spawn(peers::run(Arc::clone(&node)));
     tokio::spawn(watch(Arc::clone(&node)));
-    tokio::spawn(accept(Arc::clone(&node)));
+    let accepting = tokio::spawn(accept(Arc::clone(&node), listener));
     stop.await;
-    leave(&node, stop_limit).await;
+    leave(&node, accepting, stop_limit).await;
     log::info!("event=stopped");
     Ok(())
 }
 
-async fn accept(node: Arc<Node>) {
+async fn accept(node: Arc<Node>, listener: Box<dyn Listener>) {
     loop {
-        match node.parts.listener.accept().await {
+        match listener.accept().await {
             Ok(caller) => {
                 tokio::spawn(session::serve(Arc::clone(&node), caller));
             }
@@ -91,7 +95,8 @@
     loop {
         for group in node.groups() {
             if watched.insert(Arc::clone(&group.name)) {
-                tokio::spawn(task::leader::run(Arc::clone(&node), group));
+                tokio::spawn(task::leader::run(Arc::clone(&node), Arc::clone(&group)));
+                tokio::spawn(failover::watch_departed(Arc::clone(&node), group));
             }
         }
         let (changed, is_ready) = {
@@ -134,20 +139,28 @@
 }
 
 /// Ends without cutting a request: sessions close as soon as they rest.
-async fn leave(node: &Arc<Node>, limit: Duration) {
+async fn leave(node: &Arc<Node>, accepting: JoinHandle<()>, limit: Duration) {
     log::info!("event=stopping sessions={}", node.meter.sessions.get());
     let begun = Instant::now();
     node.is_leaving.store(true, Ordering::Relaxed);
     lock(&node.keeper).leave(node.now());
     let last = begun + limit.saturating_sub(RELEASE_TIME);
+    end_sessions(node, begun + LINGER, last).await;
+    // From here on a new caller finds nobody and goes elsewhere at once.
+    accepting.abort();
+    end_sessions(node, Instant::now(), last + RELEASE_TIME / 2).await;
+    log::info!("event=sessions-ended left={}", node.meter.sessions.get());
+    tokio::join!(task::leave_ledger(node), task::release_lease(node));
+}
+
+/// Waits until no session is left, from `first` to `last`.
+async fn end_sessions(node: &Arc<Node>, first: Instant, last: Instant) {
     while Instant::now() < last {
         node.leaving.notify_waiters();
         let is_empty = node.meter.sessions.get() == 0;
-        if is_empty && Instant::now() >= begun + LINGER {
-            break;
+        if is_empty && Instant::now() >= first {
+            return;
         }
         sleep(Duration::from_millis(50)).await;
     }
-    log::info!("event=sessions-ended left={}", node.meter.sessions.get());
-    tokio::join!(task::leave_ledger(node), task::release_lease(node));
 }
--- a/crates/relay/src/task/lease.rs
+++ b/crates/relay/src/task/lease.rs
@@ -22,6 +22,8 @@
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// A table call without an answer for this long counts as unanswered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for the table at a planned stop.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Members are forgotten this long after their lease lapsed.
 const FORGET_AFTER: Span = Span::from_secs(10);
 
@@ -51,7 +53,7 @@
 pub async fn release(node: &Arc<Node>) {
     let renewal = lock(&node.keeper).release();
     let commit = node.parts.table.commit(renewal.conditions, renewal.writes);
-    match timeout(CALL_TIMEOUT, commit).await {
+    match timeout(RELEASE_TIMEOUT, commit).await {
         Ok(Ok(store::Outcome::Committed { .. })) => log::info!("event=lease-released"),
         other => log::warn!("event=lease-kept why=\"{other:?}\""),
     }
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -18,7 +18,7 @@
 /// Longest time between two steps; loans are asked for at once when a request waits.
 const STEP_EVERY: Duration = Duration::from_millis(50);
 /// Longest wait for a planned stop to give the slices back.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
 /// A table call without an answer for this long counts as unanswered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
