Tests of the relay and of the adapter; ask at once after an outage of the store

A test found that an instance stayed closed for up to a second after the store's return, as it asked with the usual wait.

--- /dev/null
+++ b/crates/relay/tests/relay/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the relay against an in-memory group of servers.
+
+mod duty;
+mod lead;
+mod pool;
+mod replacement;
+mod sessions;
+mod stops;
+mod survey;
+mod suspicion;
+mod world;
--- /dev/null
+++ b/crates/relay/tests/relay/pool.rs
@@ -0,0 +1,117 @@
+//! The connections of an instance to a server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use clock::System;
+use relay::border::Target;
+use relay::group::Vitals;
+use relay::pool::Pool;
+use tokio::time::Instant;
+
+use crate::world::Group;
+use crate::world::Links;
+
+fn open(limit: usize) -> Arc<Pool> {
+    let target = Target {
+        group: Arc::from("huvo"),
+        server: Arc::from("a"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        account: Arc::from(""),
+    };
+    let vitals: Arc<Mutex<Vitals>> = Arc::default();
+    let connector = Arc::new(Links(Group::open()));
+    let pool = Pool::open(target, connector, vitals, Arc::new(System::open()));
+    pool.set_limit(limit);
+    pool
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_millis(100)
+}
+
+fn account(name: &str) -> Arc<str> {
+    Arc::from(name)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_is_used_again_by_its_account_only() {
+    let pool = open(4);
+    let lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    lane.release();
+    assert!(pool.has_idle("x"));
+    assert!(!pool.has_idle("y"));
+    let _again = pool.acquire(&account("x"), 1, soon()).await.expect("idle");
+    assert_eq!(pool.taken(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_of_another_account_makes_room() {
+    let pool = open(1);
+    let lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    lane.release();
+    let other = pool.acquire(&account("y"), 1, soon()).await;
+    let other = other.expect("the idle one went");
+    assert_eq!(&*other.account, "y");
+    assert_eq!(pool.taken(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_limit_holds_and_who_waits_too_long_is_refused() {
+    let pool = open(1);
+    let _lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    assert!(pool.acquire(&account("x"), 1, soon()).await.is_err());
+    assert_eq!(pool.taken(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_more_urgent_of_two_waiting_requests_goes_first() {
+    let pool = open(1);
+    let lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let mut waiting = Vec::new();
+    for priority in [2, 1] {
+        let pool = Arc::clone(&pool);
+        let order = Arc::clone(&order);
+        waiting.push(tokio::spawn(async move {
+            let lane = pool.acquire(&account("x"), priority, soon()).await;
+            order.lock().expect("no panic").push(priority);
+            lane.expect("a turn").release();
+        }));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    lane.release();
+    for task in waiting {
+        task.await.expect("no panic");
+    }
+    assert_eq!(*order.lock().expect("no panic"), [1, 2]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_dropped_connection_frees_its_place() {
+    let pool = open(1);
+    let lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    drop(lane);
+    assert_eq!(pool.taken(), 0);
+    assert!(pool.acquire(&account("y"), 1, soon()).await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_waiting_request_that_gave_up_does_not_keep_a_place() {
+    let pool = open(1);
+    let lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    assert!(pool.acquire(&account("y"), 1, soon()).await.is_err());
+    lane.release();
+    assert!(pool.acquire(&account("z"), 1, soon()).await.is_ok());
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    assert_eq!(pool.taken(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_closed_pool_gives_nothing() {
+    let pool = open(2);
+    pool.close();
+    assert!(pool.acquire(&account("x"), 1, soon()).await.is_err());
+}
--- /dev/null
+++ b/crates/relay/tests/relay/replacement.rs
@@ -0,0 +1,144 @@
+//! The replacement of primaries, through whole instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use relay::message::Code;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::world::World;
+
+/// The longest time from a primary's failure to the next acknowledged write.
+const GAP: Duration = Duration::from_secs(4);
+
+/// Writes until one succeeds, and returns how long that took.
+async fn write_on(client: &mut crate::world::Client, item: &str) -> Duration {
+    let begun = Instant::now();
+    loop {
+        match client.write(item, "1").await {
+            Ok(()) => return begun.elapsed(),
+            Err(failure) => assert!(
+                matches!(failure.code, Code::Busy | Code::InDoubt),
+                "{failure:?}"
+            ),
+        }
+        assert!(
+            begun.elapsed() < Duration::from_secs(20),
+            "no write succeeds"
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_crashed_primary_is_replaced_by_the_replica_that_has_all() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    world.group.deafen("b", true);
+    client.write("x", "kept").await.expect("c received it");
+    world.group.crash("a");
+    world.group.deafen("b", false);
+    let gap = write_on(&mut client, "y").await;
+    assert_eq!(world.group.leader().as_deref(), Some("c"));
+    assert!(gap < GAP, "the gap was {gap:?}");
+    assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_primary_is_replaced_and_no_replica_stays_paused() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.group.silence("a", true);
+    write_on(&mut client, "y").await;
+    assert_ne!(world.group.leader().as_deref(), Some("a"));
+    world.group.silence("a", false);
+    sleep(Duration::from_secs(6)).await;
+    assert!(world.group.paused().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn nobody_is_promoted_while_a_commit_could_be_lost() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.group.crash("b");
+    world.group.crash("a");
+    let failure = client.write("y", "1").await.expect_err("no primary");
+    assert_eq!(failure.code, Code::Busy);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(world.group.leader(), None);
+    assert!(
+        world.group.orders().is_empty(),
+        "{:?}",
+        world.group.orders()
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_leaves_hands_over_without_a_failed_write() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.enter("a", 1, true);
+    let begun = Instant::now();
+    let mut writes = 0;
+    while begun.elapsed() < Duration::from_secs(3) {
+        client.write("y", "1").await.expect("no write fails");
+        writes += 1;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_ne!(world.group.leader().as_deref(), Some("a"));
+    assert_eq!(world.group.writes("y"), writes);
+    let tokens: Vec<u64> = world
+        .group
+        .orders()
+        .iter()
+        .map(|order| order.token)
+        .collect();
+    assert!(tokens.is_sorted(), "{tokens:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_cannot_commit_is_replaced() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.group.lose_answer();
+    let failure = client.write("y", "1").await.expect_err("stuck");
+    assert_eq!(failure.code, Code::InDoubt);
+    write_on(&mut client, "z").await;
+    assert_eq!(world.group.writes("y"), 1, "the write was not sent again");
+}
+
+#[tokio::test]
+async fn two_instances_agree_on_one_promotion() {
+    let world = World::open();
+    let first = world.start("i1").await;
+    let second = world.start("i2").await;
+    let mut one = first.connect("orders").await;
+    let mut two = second.connect("orders").await;
+    one.write("x", "1").await.expect("a write");
+    two.write("x", "2").await.expect("a write");
+    world.group.crash("a");
+    tokio::join!(write_on(&mut one, "y"), write_on(&mut two, "y"));
+    let orders = world.group.orders();
+    let servers: std::collections::BTreeSet<Arc<str>> = orders
+        .iter()
+        .map(|order| Arc::clone(&order.server))
+        .collect();
+    assert_eq!(servers.len(), 1, "{orders:?}");
+    for pair in orders.windows(2) {
+        let is_same_holder = pair[0].holder == pair[1].holder;
+        assert!(
+            is_same_holder || pair[0].token < pair[1].token,
+            "{orders:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/relay/sessions.rs
@@ -0,0 +1,301 @@
+//! Sessions through a whole instance.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use relay::message::Access;
+use relay::message::Code;
+use relay::message::Shape;
+use relay::message::State;
+use relay::message::Statement;
+use tokio::time::sleep;
+
+use crate::world::KEY;
+use crate::world::World;
+use crate::world::revision;
+
+#[tokio::test(start_paused = true)]
+async fn a_write_is_read_back_on_every_kind_of_route() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut orders = instance.connect("orders").await;
+    let mut status = instance.connect("status").await;
+    orders.write("x", "1").await.expect("a write");
+    assert_eq!(orders.read("x").await.as_deref(), Ok("1"));
+    status.write("y", "2").await.expect("a write");
+    assert_eq!(status.read("y").await.as_deref(), Ok("2"));
+    assert_eq!(world.group.writes("x"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_session_reads_its_writes_although_replicas_lag() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("status").await;
+    world.group.delay("b", true);
+    world.group.delay("c", true);
+    for round in 0..10 {
+        let data = round.to_string();
+        client.write("x", &data).await.expect("a write");
+        assert_eq!(client.read("x").await, Ok(data));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_bounded_read_is_never_older_than_its_bound() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut orders = instance.connect("orders").await;
+    let mut gallery = instance.connect("gallery").await;
+    world.group.delay("b", true);
+    world.group.delay("c", true);
+    orders.write("x", "new").await.expect("a write");
+    sleep(Duration::from_millis(1_600)).await;
+    assert_eq!(gallery.read("x").await.as_deref(), Ok("new"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn bounded_reads_go_to_replicas() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut gallery = instance.connect("gallery").await;
+    for _ in 0..10 {
+        gallery.read("x").await.expect("a read");
+    }
+    let runs = world.group.runs();
+    let at_replicas = runs.iter().filter(|run| &*run.server != "a").count();
+    assert!(
+        at_replicas >= 9,
+        "{at_replicas} of 10 reads went to replicas"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn values_and_prepared_statements_follow_the_session() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let shape = |text: &str| Shape {
+        access: Access::Read,
+        text: Arc::from(text),
+    };
+    let mut clients = Vec::new();
+    for index in 0..6 {
+        let mut client = instance.connect("gallery").await;
+        client.set("lang", &format!("l{index}")).await;
+        let prepare = Statement::Prepare {
+            name: Arc::from("s"),
+            shape: shape(&format!("q{index}")),
+        };
+        assert!(client.run(prepare).await.outcome.is_ok());
+        clients.push(client);
+    }
+    for _ in 0..5 {
+        for (index, client) in clients.iter_mut().enumerate() {
+            let execute = Statement::Execute {
+                name: Arc::from("s"),
+                arguments: Arc::from("x"),
+            };
+            assert!(client.run(execute).await.outcome.is_ok());
+            let run = world.group.runs().pop().expect("a run");
+            let value: Arc<str> = Arc::from(format!("l{index}"));
+            let values = BTreeMap::from([(Arc::from("lang"), value)]);
+            assert_eq!(run.values, values);
+            assert_eq!(run.shape, Some(shape(&format!("q{index}"))));
+        }
+    }
+    let mut plain = instance.connect("gallery").await;
+    plain.read("x").await.expect("a read");
+    let run = world.group.runs().pop().expect("a run");
+    assert!(run.values.is_empty(), "no value of another session is left");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_transaction_keeps_what_it_commits_and_nothing_else() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    let begin = || Statement::Begin {
+        is_read_only: false,
+    };
+    let begun = client.run(begin()).await;
+    assert_eq!(begun.state, State::Open);
+    client.write("x", "1").await.expect("a write");
+    let committed = client.run(Statement::Commit).await;
+    assert_eq!(committed.state, State::Idle);
+    assert!(
+        committed.outcome.expect("a commit").is_some(),
+        "it is signed"
+    );
+    client.run(begin()).await;
+    client.write("x", "2").await.expect("a write");
+    let rolled_back = client.run(Statement::Rollback).await;
+    assert_eq!(rolled_back.state, State::Idle);
+    assert_eq!(client.read("x").await.as_deref(), Ok("1"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_leaves_in_a_transaction_keeps_nothing() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client
+        .run(Statement::Begin {
+            is_read_only: false,
+        })
+        .await;
+    client.write("x", "1").await.expect("a write");
+    drop(client);
+    sleep(Duration::from_millis(100)).await;
+    let mut other = instance.connect("orders").await;
+    other
+        .write("y", "1")
+        .await
+        .expect("the connection is clean");
+    assert_eq!(other.read("x").await.as_deref(), Ok("none"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_transaction_is_ended_and_says_so() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client
+        .run(Statement::Begin {
+            is_read_only: false,
+        })
+        .await;
+    client.write("x", "1").await.expect("a write");
+    sleep(Duration::from_secs(4)).await;
+    let failure = client.write("x", "2").await.expect_err("it was ended");
+    assert_eq!(failure.code, Code::Malformed);
+    let rolled_back = client.run(Statement::Rollback).await;
+    assert_eq!(rolled_back.state, State::Idle);
+    assert_eq!(client.read("x").await.as_deref(), Ok("none"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_write_is_in_doubt_and_sent_once() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    world.group.lose_answer();
+    let failure = client.write("x", "1").await.expect_err("no answer");
+    assert_eq!(failure.code, Code::InDoubt);
+    assert_eq!(world.group.writes("x"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn unknown_databases_and_keys_are_refused() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let refused = instance.connect_as("nowhere", KEY).await;
+    assert_eq!(
+        refused.err().map(|failure| failure.code),
+        Some(Code::UnknownDatabase)
+    );
+    let refused = instance.connect_as("orders", "stolen").await;
+    assert_eq!(
+        refused.err().map(|failure| failure.code),
+        Some(Code::NoAccess)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_key_stops_a_connected_caller() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    let mut other = instance
+        .connect_as("orders", "k2")
+        .await
+        .expect("the key is in force");
+    let mut next = revision(2);
+    next.accounts
+        .get_mut("shop")
+        .expect("an account")
+        .keys
+        .clear();
+    world.set(next);
+    sleep(Duration::from_millis(100)).await;
+    let failure = client.write("x", "1").await.expect_err("withdrawn");
+    assert_eq!(failure.code, Code::NoAccess);
+    assert!(client.is_closed().await);
+    other.write("y", "1").await.expect("its key is in force");
+    assert_eq!(world.group.writes("x"), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn keys_are_not_trusted_longer_than_the_grace_without_the_store() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    world.revisions.set_down(true);
+    sleep(Duration::from_millis(500)).await;
+    client.write("x", "1").await.expect("within the grace");
+    sleep(Duration::from_millis(200)).await;
+    let mut rounds = 0;
+    let failure = loop {
+        rounds += 1;
+        assert!(rounds < 100, "writes go on without the store");
+        match client.write("x", "2").await {
+            Ok(()) => sleep(Duration::from_millis(50)).await,
+            Err(failure) => break failure,
+        }
+    };
+    assert_eq!(failure.code, Code::Busy);
+    assert!(failure.text.contains("not run"), "{}", failure.text);
+    assert!(failure.text.contains("retry-after-ms"), "{}", failure.text);
+    let writes = world.group.writes("x");
+    world.revisions.set_down(false);
+    sleep(Duration::from_millis(500)).await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "3").await.expect("the store is back");
+    assert_eq!(world.group.writes("x"), writes + 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn statements_of_two_accounts_never_share_a_connection() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    for round in 0..10 {
+        let (key, account) = if round % 2 == 0 {
+            (KEY, "shop")
+        } else {
+            ("k2", "club")
+        };
+        let mut client = instance.connect_as("orders", key).await.expect("a key");
+        client.write("x", "1").await.expect("a write");
+        let run = world.group.runs().pop().expect("a run");
+        assert_eq!(&*run.account, account);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rate_is_kept_and_the_refusal_says_when_to_come_back() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut next = revision(2);
+    let shop = next.accounts.get_mut("shop").expect("an account");
+    shop.limit = account::rate::Limit {
+        rate: 10,
+        burst: 10,
+    };
+    world.set(next);
+    sleep(Duration::from_millis(100)).await;
+    let mut client = instance.connect("orders").await;
+    let before = world.group.runs().len();
+    let mut refused = 0;
+    for _ in 0..100 {
+        if let Err(failure) = client.read("x").await {
+            assert_eq!(failure.code, Code::Busy);
+            assert!(failure.text.contains("retry-after-ms"), "{}", failure.text);
+            refused += 1;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    let ran = world.group.runs().len() - before;
+    assert_eq!(ran + refused, 100);
+    assert!(ran <= 10 + 20, "{ran} of 100 ran in about 2 s at 10/s");
+    assert!(ran >= 10, "{ran} of 100 ran");
+}
--- /dev/null
+++ b/crates/relay/tests/relay/stops.rs
@@ -0,0 +1,53 @@
+//! Planned stops.
+
+use std::time::Duration;
+
+use relay::message::Statement;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::world::World;
+
+#[tokio::test(start_paused = true)]
+async fn a_stop_closes_resting_sessions_and_ends_in_time() {
+    let world = World::open();
+    let mut instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    instance.stop();
+    assert!(client.is_closed().await);
+    let ended = timeout(Duration::from_secs(6), &mut instance.task).await;
+    ended
+        .expect("in time")
+        .expect("no panic")
+        .expect("no error");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stop_lets_a_transaction_end() {
+    let world = World::open();
+    let mut instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client
+        .run(Statement::Begin {
+            is_read_only: false,
+        })
+        .await;
+    client.write("x", "1").await.expect("a write");
+    instance.stop();
+    sleep(Duration::from_millis(2_000)).await;
+    let committed = client.run(Statement::Commit).await;
+    assert!(committed.outcome.is_ok(), "{committed:?}");
+    assert_eq!(world.group.writes("x"), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stopping_instance_serves_callers_that_still_come() {
+    let world = World::open();
+    let mut instance = world.start("i1").await;
+    instance.stop();
+    sleep(Duration::from_millis(1_000)).await;
+    let mut late = instance.connect("orders").await;
+    late.write("x", "1").await.expect("it is served");
+    assert!(late.is_closed().await);
+}
--- /dev/null
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -0,0 +1,301 @@
+//! Whole instances before an in-memory group and platform.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use account::rate::Limit;
+use async_trait::async_trait;
+use clock::Span;
+use clock::System;
+use endpoint::Role;
+use relay::border::Caller;
+use relay::node::Options;
+use relay::node::Parts;
+use relay::settings;
+use relay::settings::Freshness;
+use relay::settings::Revision;
+use relay::settings::Route;
+use store::Batch;
+use store::Change;
+use store::Error;
+use store::Followed;
+use store::Memory;
+use store::Watch;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use super::Client;
+use super::caller::Front;
+use super::group::GROUP;
+use super::group::Group;
+use super::group::Links;
+
+/// The key of the account `shop`.
+pub const KEY: &str = "k1";
+
+/// Rows that are followed, in memory.
+pub struct Rows<T> {
+    rows: Mutex<(u64, BTreeMap<Arc<str>, T>)>,
+    changed: Notify,
+    /// Whether calls fail.
+    is_down: AtomicBool,
+}
+
+impl<T: Clone> Rows<T> {
+    fn open() -> Arc<Self> {
+        Arc::new(Self {
+            rows: Mutex::new((1, BTreeMap::new())),
+            changed: Notify::new(),
+            is_down: AtomicBool::new(false),
+        })
+    }
+
+    /// Changes the rows.
+    pub fn change(&self, change: impl FnOnce(&mut BTreeMap<Arc<str>, T>)) {
+        {
+            let mut rows = self.rows.lock().expect("no test panics with the lock");
+            rows.0 += 1;
+            change(&mut rows.1);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Makes calls fail, or work again.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        if self.is_down.load(Ordering::Relaxed) {
+            return Err(Error::Refused {
+                step: "read",
+                peer: "rows".to_owned(),
+                why: "down".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl<T: Clone + Send + Sync> Watch<T> for Rows<T> {
+    async fn read(&self) -> Result<Batch<T>, Error> {
+        self.check()?;
+        let rows = self.rows.lock().expect("no test panics with the lock");
+        let changes = rows.1.iter().map(|(name, value)| Change {
+            name: Arc::clone(name),
+            value: Some(value.clone()),
+        });
+        Ok(Batch {
+            changes: changes.collect(),
+            version: rows.0,
+        })
+    }
+
+    async fn follow(&self, after: u64, wait: Duration) -> Result<Followed<T>, Error> {
+        self.check()?;
+        let is_behind = || self.rows.lock().expect("no panic").0 > after;
+        if !is_behind() {
+            // Changed or not, the answer says what there is.
+            let _elapsed = tokio::time::timeout(wait, self.changed.notified()).await;
+        }
+        self.check()?;
+        if is_behind() {
+            // This small store keeps no history; the reader reads all rows again.
+            return Ok(Followed::HistoryLost);
+        }
+        Ok(Followed::Batch(Batch {
+            changes: Vec::new(),
+            version: after,
+        }))
+    }
+}
+
+/// Returns the settings of the tests: one group, a database for each kind of route.
+pub fn revision(number: u64) -> Revision {
+    let staleness = Span::from_millis(1_500);
+    let kinds = [
+        ("orders", Freshness::Latest),
+        ("gallery", Freshness::Bounded { staleness }),
+        ("status", Freshness::ReadYourWrites { staleness }),
+    ];
+    let routes = kinds.into_iter().map(|(database, freshness)| {
+        let route = Route {
+            name: Arc::from(database),
+            group: Arc::from(GROUP),
+            freshness,
+            statement_limit: Span::from_secs(3),
+            target: Span::from_millis(200),
+            priority: 1,
+            is_open: false,
+        };
+        (Arc::from(database), Arc::new(route))
+    });
+    let group = settings::Group {
+        max_connections: 34,
+        sync_replicas: 1,
+    };
+    let account = |key: &str| settings::Account {
+        keys: BTreeSet::from([Arc::from(key)]),
+        limit: Limit {
+            rate: 100_000,
+            burst: 100_000,
+        },
+    };
+    Revision {
+        number,
+        routes: routes.collect(),
+        groups: BTreeMap::from([(Arc::from(GROUP), group)]),
+        accounts: BTreeMap::from([
+            (Arc::from("shop"), account(KEY)),
+            (Arc::from("club"), account("k2")),
+        ]),
+        transaction_idle: Span::from_secs(3),
+    }
+}
+
+/// The group, the platform and what instances share.
+pub struct World {
+    pub group: Arc<Group>,
+    pub table: Arc<Memory>,
+    pub revisions: Arc<Rows<Revision>>,
+    pub servers: Arc<Rows<settings::Server>>,
+}
+
+impl World {
+    /// Opens a world whose servers have all entered themselves.
+    pub fn open() -> Self {
+        let world = Self {
+            group: Group::open(),
+            table: Memory::open(),
+            revisions: Rows::open(),
+            servers: Rows::open(),
+        };
+        world.set(revision(1));
+        for (port, name) in [(1, "a"), (2, "b"), (3, "c")] {
+            world.enter(name, port, false);
+        }
+        world
+    }
+
+    /// Puts a revision in the place of the last one.
+    pub fn set(&self, revision: Revision) {
+        self.revisions.change(|rows| {
+            rows.insert(Arc::from("config"), revision);
+        });
+    }
+
+    /// Writes a server's entry.
+    pub fn enter(&self, name: &str, port: u16, is_draining: bool) {
+        let role = match self.group.leader().as_deref() == Some(name) {
+            true => Role::Primary,
+            false => Role::Replica,
+        };
+        let entry = settings::Server {
+            group: Arc::from(GROUP),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            zone: Arc::from("z"),
+            is_draining,
+            role,
+            born: 1,
+        };
+        self.servers.change(|rows| {
+            rows.insert(Arc::from(name), entry);
+        });
+    }
+
+    /// Starts an instance and waits until it serves.
+    pub async fn start(&self, name: &str) -> Instance {
+        let options = Options {
+            name: Arc::from(name),
+            zone: Arc::from("z"),
+            peer: free_udp(),
+            ready: SocketAddr::from(([127, 0, 0, 1], 0)),
+            key_grace: Span::from_secs(3),
+            stop_limit: Span::from_secs(6),
+            retry_after: Span::from_millis(500),
+        };
+        let promoter: Arc<Group> = Arc::clone(&self.group);
+        let parts = Parts {
+            connector: Arc::new(Links(Arc::clone(&self.group))),
+            promoter,
+            table: self.table.clone(),
+            revisions: self.revisions.clone(),
+            servers: self.servers.clone(),
+            clock: Arc::new(System::open()),
+        };
+        let (front, listener) = Front::open();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let until = async move {
+            // A dropped sender ends the instance too.
+            let _stopped = stopped.await;
+        };
+        let run = relay::run(options, parts, Box::new(listener), "/ready", until);
+        let task = tokio::spawn(run);
+        let instance = Instance {
+            front,
+            stop: Some(stop),
+            task,
+        };
+        instance.wait().await;
+        instance
+    }
+}
+
+/// A running instance.
+pub struct Instance {
+    front: mpsc::Sender<Box<dyn Caller>>,
+    stop: Option<oneshot::Sender<()>>,
+    pub task: JoinHandle<Result<(), relay::Error>>,
+}
+
+impl Instance {
+    /// Begins a session of the account `shop`.
+    pub async fn connect(&self, database: &str) -> Client {
+        let connected = self.connect_as(database, KEY).await;
+        connected.expect("the key is in force")
+    }
+
+    /// Begins a session with a key.
+    pub async fn connect_as(
+        &self,
+        database: &str,
+        key: &str,
+    ) -> Result<Client, relay::message::Failure> {
+        Client::connect(&self.front, database, key).await
+    }
+
+    /// Tells the instance to stop.
+    pub fn stop(&mut self) {
+        drop(self.stop.take());
+    }
+
+    /// Waits until statements are served.
+    async fn wait(&self) {
+        for _ in 0..200 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            if let Ok(mut client) = self.connect_as("orders", KEY).await
+                && client.read("first").await.is_ok()
+            {
+                return;
+            }
+        }
+        panic!("the instance does not serve");
+    }
+}
+
+/// Returns an address that nobody uses.
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("a bound port")
+}
