--- a/crates/account/src/rate/account.rs
+++ b/crates/account/src/rate/account.rs
@@ -178,7 +178,7 @@
             peer.spare = Some(loan.spare);
             peer.spare_at = now;
             if loan.amount == Amount::ZERO {
-                peer.not_before = now + policy.window;
+                peer.not_before = now + policy.empty;
             }
         }
         if loan.limit == self.bucket.limit() && now < until {
@@ -201,7 +201,7 @@
         self.close_asks(now, policy);
         self.hope = self.sum_hope(now, schedule);
         self.hope_at = now;
-        self.asks(now)
+        self.asks(now, policy)
     }
 
     /// Records an ask that is being sent.
@@ -242,18 +242,28 @@
         Amount::from_raw(self.target().raw().saturating_mul(2))
     }
 
-    fn asks(&self, now: Time) -> Vec<(Arc<str>, Amount)> {
+    fn asks(&self, now: Time, policy: &Policy) -> Vec<(Arc<str>, Amount)> {
         let target = self.target();
         let available = self.bucket.available();
         if available >= target {
             return Vec::new();
         }
         let missing = target.minus(available).raw();
-        let ready: Vec<_> = self
+        let under_way: u32 = self.peers.values().map(|peer| peer.open).sum();
+        let more = policy
+            .ask_most
+            .saturating_sub(usize::try_from(under_way).unwrap_or(usize::MAX));
+        let mut ready: Vec<_> = self
             .peers
             .iter()
             .filter(|(_, peer)| peer.open == 0 && peer.not_before <= now)
             .collect();
+        if ready.len() > more {
+            // A peer of which nothing is known may have a full share.
+            let full = Amount::from_tokens(u64::MAX);
+            ready.sort_by_key(|(_, peer)| std::cmp::Reverse(peer.spare.unwrap_or(full)));
+            ready.truncate(more);
+        }
         if ready.is_empty() {
             return Vec::new();
         }
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -41,6 +41,10 @@
     pub window: Span,
     /// How long a peer that did not answer an ask is not asked again.
     pub silence: Span,
+    /// How long a peer that lent nothing is not asked again.
+    pub empty: Span,
+    /// The most peers that are asked at a time; those with the most to spare come first.
+    pub ask_most: usize,
     /// A fault for tests: a repeated loan is applied again.
     pub repeat_loans: bool,
     /// A fault for tests: takeovers need no consent.
@@ -71,6 +75,8 @@
             retry: Span::from_millis(2),
             window: Span::from_millis(10),
             silence: Span::from_millis(200),
+            empty: Span::from_millis(10),
+            ask_most: usize::MAX,
             repeat_loans: false,
             skip_consent: false,
             start_full: false,
--- a/crates/relay/src/metrics/meter.rs
+++ b/crates/relay/src/metrics/meter.rs
@@ -33,6 +33,12 @@
     latency: Histogram,
     /// Open sessions.
     pub sessions: Gauge,
+    /// Bytes sent to other instances.
+    pub peer_bytes: Counter,
+    /// Questions to servers whether they lead.
+    pub leader_questions: Counter,
+    /// Statements answered, whatever the outcome.
+    pub statements: Counter,
 }
 
 impl Meter {
@@ -43,6 +49,9 @@
             requests: Family::default(),
             latency: Histogram::new(exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BUCKETS)),
             sessions: Gauge::default(),
+            peer_bytes: Counter::default(),
+            leader_questions: Counter::default(),
+            statements: Counter::default(),
         };
         let mut registry = lock(&meter.registry);
         registry.register(
@@ -56,6 +65,16 @@
             meter.latency.clone(),
         );
         registry.register("sessions", "Open sessions", meter.sessions.clone());
+        registry.register(
+            "peer_bytes",
+            "Bytes sent to other instances",
+            meter.peer_bytes.clone(),
+        );
+        registry.register(
+            "leader_questions",
+            "Questions to servers whether they lead",
+            meter.leader_questions.clone(),
+        );
         drop(registry);
         meter
     }
@@ -63,6 +82,7 @@
     /// Counts an answered statement, `None` for a success.
     pub fn request(&self, code: Option<Code>, micros: u64) {
         let code = code.map_or_else(|| "ok".to_owned(), |code| code.to_string());
+        self.statements.inc();
         self.requests.get_or_create(&Outcome { code }).inc();
         let time = std::time::Duration::from_micros(micros);
         self.latency.observe(time.as_secs_f64());
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -31,9 +31,12 @@
 use crate::message::Failure;
 use crate::metrics::Meter;
 use crate::node::Journal;
+use crate::node::Load;
 use crate::node::Options;
 use crate::node::Parts;
 use crate::node::Rotation;
+use crate::node::Shares;
+use crate::peers::Content;
 use crate::peers::Peers;
 use crate::session::Job;
 use crate::settings::Revision;
@@ -73,6 +76,10 @@
     pub peers: Peers,
     /// What is known of the duty to replace leaders.
     pub duties: Duties,
+    /// How loaded this instance is.
+    pub load: Mutex<Load>,
+    /// How loaded the others are.
+    pub shares: Mutex<Shares>,
     /// Whether the instance asks for new callers.
     pub rotation: Mutex<Rotation>,
     /// Whether the process was told to stop.
@@ -126,6 +133,8 @@
             entries: Mutex::default(),
             peers,
             duties: Duties::default(),
+            load: Mutex::default(),
+            shares: Mutex::default(),
             rotation: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             leaving: Notify::new(),
@@ -212,7 +221,7 @@
     /// While the table does not answer it is not known who lives, and the shares stay as they are.
     pub fn share_connections(&self) {
         let now = self.now();
-        let instances = {
+        let others: Vec<Arc<str>> = {
             let roll = lock(&self.roll);
             let is_known = roll
                 .table_heard()
@@ -220,14 +229,31 @@
             if !is_known {
                 return;
             }
-            1 + roll.live(now).count()
+            let live = roll.live(now);
+            live.map(|member| Arc::clone(&member.name)).collect()
         };
+        let own = lock(&self.load).per_second();
         for group in self.groups() {
             let most = lock(&group.settings).max_connections;
-            group.set_share(most.saturating_sub(SPARE_CONNECTIONS) / instances);
+            let total = most.saturating_sub(SPARE_CONNECTIONS);
+            let share = lock(&self.shares).share(now, own, &others, total);
+            group.set_share(share);
         }
     }
 
+    /// Tells the other instances how loaded this one is, and divides the connections anew.
+    pub async fn report_load(&self) {
+        let load = {
+            let mut load = lock(&self.load);
+            load.step(self.meter.statements.get());
+            load.per_second()
+        };
+        for address in self.peer_addresses().into_values() {
+            self.peers.send(self, address, Content::Load(load)).await;
+        }
+        self.share_connections();
+    }
+
     /// Returns the account that a caller with this key has at a database.
     pub fn login(&self, database: &str, key: &str) -> Result<Arc<str>, Failure> {
         let route = self.route(database)?;
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -28,6 +28,8 @@
         /// The group.
         group: Arc<str>,
     },
+    /// How many statements a second the sender answers.
+    Load(u64),
     /// Who leads a group since a moment ago.
     Leader {
         /// The group.
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -68,6 +68,7 @@
                 return;
             }
         };
+        node.meter.peer_bytes.inc_by(bytes.len() as u64);
         if let Err(error) = self.socket.send_to(&bytes, address).await {
             log::debug!("event=datagram-unsent to={address} why=\"{error}\"");
         }
@@ -136,6 +137,9 @@
                     .await;
             }
         }
+        Content::Load(load) => {
+            lock(&node.shares).on_report(node.now(), &datagram.from, load);
+        }
         Content::Leader { group, server } => {
             let Some(group) = node.group(&group) else {
                 return;
--- a/crates/relay/src/pool/lane.rs
+++ b/crates/relay/src/pool/lane.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Returns the place, to note whether the connection is in use.
+    pub(super) fn place_mut(&mut self) -> &mut Place {
+        &mut self.place
+    }
+
     /// Closes the connection and keeps its place.
     pub(super) fn into_place(self) -> Place {
         self.place
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use clock::Clock;
+use clock::Span;
+use clock::Time;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -24,6 +26,13 @@
 /// Connections that an instance may hold before its share is known.
 const FIRST_LIMIT: usize = 2;
 
+/// So many requests wait for a connection of their account before another account's is closed for
+/// them; opening one takes about as long as this many statements.
+const WORTH_WAITING: usize = 4;
+/// A request that has waited this long goes before later ones of the account whose connection is
+/// free.
+const FAIR_WAIT: Span = Span::from_millis(100);
+
 /// What a waiting request gets.
 pub(super) enum Grant {
     /// A connection for its account.
@@ -34,6 +43,7 @@
 
 struct Waiter {
     account: Arc<str>,
+    since: Time,
     sender: oneshot::Sender<Grant>,
 }
 
@@ -44,12 +54,29 @@
     taken: usize,
     /// Connections not in use, the latest used last.
     idle: Vec<Lane>,
+    /// Connections in use, by account.
+    busy: BTreeMap<Arc<str>, usize>,
     /// Requests that wait, by priority and order.
     waiters: BTreeMap<(u32, u64), Waiter>,
     next: u64,
     is_closed: bool,
 }
 
+impl Inner {
+    /// Returns whether a connection of the account is likely to be free soon.
+    ///
+    /// Opening one in the place of another account's takes the server as long as a statement.
+    fn is_worth_waiting(&self, account: &Arc<str>) -> bool {
+        let busy = self.busy.get(account).copied().unwrap_or_default();
+        let waiting = self
+            .waiters
+            .values()
+            .filter(|waiter| waiter.account == *account)
+            .count();
+        waiting < busy * WORTH_WAITING
+    }
+}
+
 enum Taken {
     Lane(Lane),
     Place(Place),
@@ -83,6 +110,7 @@
                 limit: FIRST_LIMIT,
                 taken: 0,
                 idle: Vec::new(),
+                busy: BTreeMap::new(),
                 waiters: BTreeMap::new(),
                 next: 0,
                 is_closed: false,
@@ -185,13 +213,15 @@
     /// Puts a connection back that is not in use any more.
     pub(super) fn put_back(self: &Arc<Self>, lane: Lane) {
         let mut lane = Some(lane);
-        while let Some(current) = lane.take() {
+        while let Some(mut current) = lane.take() {
+            current.place_mut().set_idle();
+            let now = self.clock.now();
             let waiter = {
                 let mut inner = lock(&self.inner);
                 let is_over = inner.is_closed || inner.taken > inner.limit;
                 if is_over {
                     None
-                } else if let Some(key) = next_waiter(&inner, &current.account) {
+                } else if let Some(key) = next_waiter(&inner, &current.account, now) {
                     inner.waiters.remove(&key)
                 } else {
                     inner.idle.push(current);
@@ -203,6 +233,7 @@
                 return;
             };
             let grant = if waiter.account == current.account {
+                current.place_mut().set_busy(&waiter.account);
                 Grant::Lane(current)
             } else {
                 Grant::Place(current.into_place())
@@ -216,6 +247,23 @@
         }
     }
 
+    /// Counts a connection in use for an account.
+    pub(super) fn on_busy(&self, account: &Arc<str>) {
+        let mut inner = lock(&self.inner);
+        *inner.busy.entry(Arc::clone(account)).or_default() += 1;
+    }
+
+    /// Counts a connection that is not in use for an account any more.
+    pub(super) fn on_free(&self, account: &Arc<str>) {
+        let mut inner = lock(&self.inner);
+        let left = inner.busy.get(account).map_or(0, |busy| busy - 1);
+        if left == 0 {
+            inner.busy.remove(account);
+        } else {
+            inner.busy.insert(Arc::clone(account), left);
+        }
+    }
+
     /// Frees a place.
     pub(super) fn leave(self: &Arc<Self>) {
         lock(&self.inner).taken -= 1;
@@ -256,12 +304,16 @@
                 inner.taken += 1;
                 return Taken::Place(Place::new(self));
             }
-            if inner.idle.is_empty() {
+            if inner.idle.is_empty() || inner.is_worth_waiting(account) {
                 let (sender, receiver) = oneshot::channel();
                 let key = (priority, inner.next);
                 inner.next += 1;
-                let account = Arc::clone(account);
-                inner.waiters.insert(key, Waiter { account, sender });
+                let waiter = Waiter {
+                    account: Arc::clone(account),
+                    since: self.clock.now(),
+                    sender,
+                };
+                inner.waiters.insert(key, waiter);
                 return Taken::Wait(receiver);
             }
             inner.idle.remove(0)
@@ -280,6 +332,8 @@
             // A connection from before a failure may be one that the server has dropped since.
             let is_older = lane.rested <= lock(&self.vitals).failed;
             if !is_older && lane.is_open() {
+                let account = Arc::clone(&lane.account);
+                lane.place_mut().set_busy(&account);
                 return Some(lane);
             }
         }
@@ -287,10 +341,11 @@
 
     async fn connect(
         self: &Arc<Self>,
-        place: Place,
+        mut place: Place,
         account: &Arc<str>,
         deadline: Instant,
     ) -> Result<Lane, Error> {
+        place.set_busy(account);
         let begun = self.clock.now();
         if !lock(&self.vitals).may_connect(begun) {
             return Err(self.gone());
@@ -346,9 +401,13 @@
     }
 }
 
-/// Returns the waiter of the highest priority, one of the same account if there is one.
-fn next_waiter(inner: &Inner, account: &Arc<str>) -> Option<(u32, u64)> {
-    let (first, _) = inner.waiters.first_key_value()?;
+/// Returns the waiter of the highest priority, one of the same account if there is one and no
+/// other has waited for long.
+fn next_waiter(inner: &Inner, account: &Arc<str>, now: Time) -> Option<(u32, u64)> {
+    let (first, head) = inner.waiters.first_key_value()?;
+    if now >= head.since + FAIR_WAIT {
+        return Some(*first);
+    }
     inner
         .waiters
         .iter()
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -9,6 +9,7 @@
 use axum::Router;
 use axum::http::StatusCode;
 use axum::routing::get;
+use clock::Span;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -28,6 +29,10 @@
 
 /// How often groups without a watch and the rotation are looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// The period of reports of the load to other instances.
+const REPORT_EVERY: Span = Span::from_secs(1);
+/// The period of the summary in the log.
+const SUMMARY_EVERY: Span = Span::from_secs(10);
 /// A stopping instance serves at least this long, until balancers have seen that it stops: they
 /// ask once a second and need two misses.
 const LINGER: Duration = Duration::from_millis(2_500);
@@ -92,7 +97,17 @@
 /// Starts a watch for each new group, and looks whether the instance can serve.
 async fn watch(node: Arc<Node>) {
     let mut watched = BTreeSet::new();
+    let mut summed_up = node.now();
+    let mut reported = node.now();
     loop {
+        if node.now() >= reported + REPORT_EVERY {
+            reported = node.now();
+            node.report_load().await;
+        }
+        if node.now() >= summed_up + SUMMARY_EVERY {
+            summed_up = node.now();
+            sum_up(&node);
+        }
         for group in node.groups() {
             if watched.insert(Arc::clone(&group.name)) {
                 tokio::spawn(task::leader::run(Arc::clone(&node), Arc::clone(&group)));
@@ -113,6 +128,19 @@
     }
 }
 
+/// Writes the counters to the log, for whoever has only the log.
+fn sum_up(node: &Node) {
+    let meter = &node.meter;
+    log::info!(
+        "event=summary sessions={} statements={} peer_bytes={} leader_questions={} revision={}",
+        meter.sessions.get(),
+        meter.statements.get(),
+        meter.peer_bytes.get(),
+        meter.leader_questions.get(),
+        node.revision().number
+    );
+}
+
 async fn answer_probes(node: Arc<Node>, listener: TcpListener, path: String) {
     let probed = Arc::clone(&node);
     let ready = move || {
--- a/crates/relay/src/task/lease.rs
+++ b/crates/relay/src/task/lease.rs
@@ -13,9 +13,9 @@
 use crate::node::lock;
 
 /// How long an instance counts as alive after it renewed its row; it renews four times as often.
-pub const LEASE: Span = Span::from_secs(8);
+pub const LEASE: Span = Span::from_secs(12);
 /// The period of reads of all rows.
-const LIST_EVERY: Span = Span::from_millis(2_000);
+const LIST_EVERY: Span = Span::from_millis(3_000);
 /// The period before a first other instance is known.
 const FIRST_LIST_EVERY: Span = Span::from_millis(500);
 /// Longest time between two looks at what is due.
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -22,15 +22,18 @@
 /// A table call without an answer for this long counts as unanswered.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Returns the ledger's times for a table whose calls are priced: fewer renewals and reads, and
-/// leases that are longer to match.
+/// Returns the ledger's times for a table whose calls are priced, and for links between zones
+/// whose bytes are: fewer renewals and reads, leases that are longer to match, and few asks to
+/// peers that have nothing to lend.
 pub fn policy() -> Policy {
     Policy {
-        lease: Span::from_secs(6),
-        renew: Span::from_secs(2),
-        read: Span::from_millis(1_500),
-        read_gap: Span::from_secs(4),
-        promise: Span::from_secs(6),
+        lease: Span::from_secs(9),
+        renew: Span::from_secs(3),
+        read: Span::from_millis(3_000),
+        read_gap: Span::from_secs(8),
+        promise: Span::from_secs(9),
+        empty: Span::from_millis(500),
+        ask_most: 3,
         ..Policy::default()
     }
 }
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -15,7 +15,7 @@
 
 /// How long the store holds a question for changes. Each answer confirms that the keys are in
 /// force, so it lies well below the grace of the keys of 3 s.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_millis(1_300);
 /// Beyond the wait, how long an answer may take before the connection counts as dead.
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -14,8 +14,9 @@
 use crate::node::Node;
 use crate::settings::Server;
 
-/// How long the store holds a question for changes.
-const WAIT: Duration = Duration::from_secs(4);
+/// How long the store holds a question for changes. A connection that has gone silent is noticed
+/// after it, which leaves over a second of the seven within which a leaving server is to be left.
+const WAIT: Duration = Duration::from_secs(5);
 /// Beyond the wait, how long an answer may take before the connection counts as dead.
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod pool;
 mod replacement;
 mod sessions;
+mod shares;
 mod stops;
 mod survey;
 mod suspicion;
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -115,3 +115,23 @@
     pool.close();
     assert!(pool.acquire(&account("x"), 1, soon()).await.is_err());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_its_account_rather_than_close_anothers_connection() {
+    let pool = open(2);
+    let own = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    let other = pool.acquire(&account("y"), 1, soon()).await.expect("room");
+    other.release();
+    let waiting = tokio::spawn({
+        let pool = Arc::clone(&pool);
+        async move { pool.acquire(&account("x"), 1, soon()).await.is_ok() }
+    });
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    own.release();
+    assert!(waiting.await.expect("no panic"));
+    assert!(pool.has_idle("y"), "the other connection is still there");
+    let first = pool.acquire(&account("x"), 1, soon()).await.expect("idle");
+    let second = pool.acquire(&account("z"), 1, soon()).await;
+    assert!(second.is_ok(), "an account without connections gets one");
+    drop(first);
+}
--- /dev/null
+++ b/crates/relay/tests/relay/shares.rs
@@ -0,0 +1,69 @@
+//! How instances divide the connections of a server.
+
+use std::sync::Arc;
+
+use clock::Span;
+use clock::Time;
+use relay::node::Load;
+use relay::node::Shares;
+
+fn at(millis: u64) -> Time {
+    Time::ZERO + Span::from_millis(millis)
+}
+
+fn names(count: usize) -> Vec<Arc<str>> {
+    (0..count)
+        .map(|index| Arc::from(format!("i{index}")))
+        .collect()
+}
+
+#[test]
+fn equally_loaded_instances_share_evenly() {
+    let mut shares = Shares::default();
+    let others = names(7);
+    for other in &others {
+        shares.on_report(at(0), other, 50);
+    }
+    assert_eq!(shares.share(at(10), 50, &others, 32), 4);
+}
+
+#[test]
+fn more_load_brings_more_connections_and_no_more_than_there_are() {
+    let mut shares = Shares::default();
+    let loads = [40, 10, 10, 10, 10, 10, 5, 5];
+    let all = names(8);
+    let mut given = Vec::new();
+    for (index, own) in loads.iter().enumerate() {
+        let mut others = all.clone();
+        others.remove(index);
+        for (other, load) in all.iter().zip(loads) {
+            shares.on_report(at(0), other, load);
+        }
+        given.push(shares.share(at(10), *own, &others, 36));
+    }
+    assert!(given[0] >= 9, "{given:?}");
+    assert!(given.iter().all(|share| *share >= 2), "{given:?}");
+    assert!(given.iter().sum::<usize>() <= 36, "{given:?}");
+}
+
+#[test]
+fn instances_without_a_recent_report_count_as_average() {
+    let mut shares = Shares::default();
+    let others = names(3);
+    shares.on_report(at(0), &others[0], 1_000);
+    assert_eq!(shares.share(at(9_000), 50, &others, 32), 8);
+    assert_eq!(shares.share(at(9_000), 0, &others, 32), 8);
+}
+
+#[test]
+fn the_load_follows_the_statements_of_each_second() {
+    let mut load = Load::default();
+    for second in 1..=20 {
+        load.step(second * 100);
+    }
+    assert!((95..=100).contains(&load.per_second()), "{load:?}");
+    for _ in 0..20 {
+        load.step(2_000);
+    }
+    assert!(load.per_second() <= 2, "{load:?}");
+}
