Send fewer statements at a time than connections are open, and keep a connection with its account

Now statements at a time are bounded by four a slot over the fleet, waiting is in the instance by priority, and up to eight statements go on a connection before a longer waiting one of another account.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -28,6 +28,11 @@
 /// one is back with its log well before.
 const REMEMBERED: Span = Span::from_secs(30);
 
+/// Statements that all instances together send to a server at a time, for each of its slots: some
+/// run, and the others keep the slots from falling idle.
+const STATEMENTS_PER_SLOT: usize = 4;
+/// Statements that an instance may always send to a server at a time.
+const STATEMENTS_MIN: usize = 2;
 /// What a read at the leader costs in comparison, in units of one waiting request: the leader
 /// also has all writes.
 const LEADER_COST: usize = 3;
@@ -164,10 +169,13 @@
         self.changed.notify_waiters();
     }
 
-    /// Sets how many connections this instance may hold to each server.
-    pub fn set_share(&self, connections: usize) {
+    /// Sets how many of `total` connections to each server this instance may hold.
+    pub fn set_share(&self, connections: usize, total: usize) {
         for server in self.servers() {
-            server.pool.set_limit(connections);
+            let slots = lock(&server.entry).slots;
+            let statements = (slots * STATEMENTS_PER_SLOT * connections).div_ceil(total.max(1));
+            let statements = statements.max(STATEMENTS_MIN);
+            server.pool.set_limits(connections, statements);
         }
     }
 
--- a/crates/relay/src/pool/lane.rs
+++ b/crates/relay/src/pool/lane.rs
@@ -32,6 +32,8 @@
     /// Answers that are still to come; never put back while there are any.
     unanswered: usize,
     state: State,
+    /// How often in a row its account was preferred to one that had waited longer.
+    pub(super) streak: u32,
     /// When it was last given back.
     pub(super) rested: Time,
 }
@@ -47,6 +49,7 @@
             next_name: 0,
             unanswered: 0,
             state: State::Idle,
+            streak: 0,
             rested: Time::ZERO,
         }
     }
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 
 use clock::Clock;
-use clock::Span;
-use clock::Time;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -26,12 +24,10 @@
 /// Connections that an instance may hold before its share is known.
 const FIRST_LIMIT: usize = 2;
 
-/// So many requests wait for a connection of their account before another account's is closed for
-/// them; opening one takes about as long as this many statements.
-const WORTH_WAITING: usize = 4;
-/// A request that has waited this long goes before later ones of the account whose connection is
-/// free.
-const FAIR_WAIT: Span = Span::from_millis(100);
+/// So many statements in a row may go before one that has waited longer, because a connection for
+/// their account is free. Opening one takes the server as long as a statement, so that changing
+/// accounts costs it no more than about a tenth of its time.
+const STREAK_MAX: u32 = 8;
 
 /// What a waiting request gets.
 pub(super) enum Grant {
@@ -43,19 +39,20 @@
 
 struct Waiter {
     account: Arc<str>,
-    since: Time,
     sender: oneshot::Sender<Grant>,
 }
 
 struct Inner {
     /// The most connections at a time.
     limit: usize,
+    /// The most statements at a time.
+    running_limit: usize,
     /// Places taken, by open connections and those being opened.
     taken: usize,
-    /// Connections not in use, the latest used last.
-    idle: Vec<Lane>,
     /// Connections in use, by account.
     busy: BTreeMap<Arc<str>, usize>,
+    /// Connections not in use, the latest used last.
+    idle: Vec<Lane>,
     /// Requests that wait, by priority and order.
     waiters: BTreeMap<(u32, u64), Waiter>,
     next: u64,
@@ -63,9 +60,11 @@
 }
 
 impl Inner {
-    /// Returns whether a connection of the account is likely to be free soon.
-    ///
-    /// Opening one in the place of another account's takes the server as long as a statement.
+    fn running(&self) -> usize {
+        self.busy.values().sum()
+    }
+
+    /// Returns whether a connection of the account is likely to be free before one is opened.
     fn is_worth_waiting(&self, account: &Arc<str>) -> bool {
         let busy = self.busy.get(account).copied().unwrap_or_default();
         let waiting = self
@@ -73,15 +72,84 @@
             .values()
             .filter(|waiter| waiter.account == *account)
             .count();
-        waiting < busy * WORTH_WAITING
+        self.taken >= self.limit && waiting < busy
+    }
+
+    /// Returns the place of an idle connection for an account, the latest used one.
+    fn idle_for(&self, account: &str) -> Option<usize> {
+        self.idle.iter().rposition(|lane| *lane.account == *account)
+    }
+
+    /// Returns the waiter whose turn it is.
+    ///
+    /// It is the first one of the highest priority, unless connections are free for others of that
+    /// priority and have not been preferred for too long.
+    fn next_waiter(&mut self) -> Option<(u32, u64)> {
+        let (first, head) = self.waiters.first_key_value()?;
+        let first = *first;
+        if self.idle_for(&head.account).is_some() {
+            return Some(first);
+        }
+        let preferred = self
+            .waiters
+            .iter()
+            .take_while(|((priority, _), _)| *priority == first.0)
+            .find_map(|(key, waiter)| Some((*key, self.idle_for(&waiter.account)?)));
+        let Some((key, index)) = preferred else {
+            return Some(first);
+        };
+        let lane = &mut self.idle[index];
+        lane.streak += 1;
+        if lane.streak <= STREAK_MAX {
+            return Some(key);
+        }
+        lane.streak = 0;
+        Some(first)
+    }
+
+    /// Takes what a request of an account can go on with, but for connections in use.
+    fn take(&mut self, account: &Arc<str>) -> Option<Taken> {
+        if let Some(index) = self.idle_for(account) {
+            return Some(Taken::Lane(self.idle.remove(index)));
+        }
+        if self.taken < self.limit {
+            self.taken += 1;
+            return Some(Taken::Room);
+        }
+        if self.idle.is_empty() {
+            return None;
+        }
+        Some(Taken::Other(self.idle.remove(0)))
+    }
+
+    fn on_busy(&mut self, account: &Arc<str>) {
+        *self.busy.entry(Arc::clone(account)).or_default() += 1;
+    }
+
+    fn on_free(&mut self, account: &Arc<str>) {
+        let left = self.busy.get(account).map_or(0, |busy| busy - 1);
+        if left == 0 {
+            self.busy.remove(account);
+        } else {
+            self.busy.insert(Arc::clone(account), left);
+        }
     }
 }
 
+/// What a request can go on with.
 enum Taken {
+    /// A connection for its account.
     Lane(Lane),
-    Place(Place),
-    Wait(oneshot::Receiver<Grant>),
-    Closed,
+    /// A place for a new connection.
+    Room,
+    /// A connection of another account, to close.
+    Other(Lane),
+}
+
+/// When a request gets what it asked for.
+enum Turn {
+    Now(Grant),
+    Later(oneshot::Receiver<Grant>),
 }
 
 /// The connections of one instance to one server; each carries one account's statements.
@@ -108,6 +176,7 @@
             clock,
             inner: Mutex::new(Inner {
                 limit: FIRST_LIMIT,
+                running_limit: FIRST_LIMIT,
                 taken: 0,
                 idle: Vec::new(),
                 busy: BTreeMap::new(),
@@ -123,10 +192,14 @@
         &self.target.server
     }
 
-    /// Sets the most connections at a time.
-    pub fn set_limit(self: &Arc<Self>, limit: usize) {
-        lock(&self.inner).limit = limit.max(1);
-        self.hand_on();
+    /// Sets the most connections, and the most statements, at a time.
+    pub fn set_limits(self: &Arc<Self>, connections: usize, statements: usize) {
+        {
+            let mut inner = lock(&self.inner);
+            inner.limit = connections.max(1);
+            inner.running_limit = statements.max(1);
+        }
+        self.dispatch();
     }
 
     /// Closes all connections that are not in use; the others close when they are given back.
@@ -168,184 +241,183 @@
         priority: u32,
         deadline: Instant,
     ) -> Result<Lane, Error> {
-        match self.take(account, priority) {
-            Taken::Lane(lane) => Ok(lane),
-            Taken::Place(place) => self.connect(place, account, deadline).await,
-            Taken::Wait(receiver) => {
-                let granted = timeout_at(deadline, receiver).await;
-                match granted {
-                    Ok(Ok(Grant::Lane(lane))) => Ok(lane),
-                    Ok(Ok(Grant::Place(place))) => self.connect(place, account, deadline).await,
-                    Ok(Err(_)) => Err(self.gone()),
-                    Err(_) => Err(Error::Refused {
+        let grant = match self.take_or_wait(account, priority)? {
+            Turn::Now(grant) => grant,
+            Turn::Later(receiver) => match timeout_at(deadline, receiver).await {
+                Ok(Ok(grant)) => grant,
+                Ok(Err(_)) => return Err(self.gone()),
+                Err(_) => {
+                    return Err(Error::Refused {
                         step: "wait for a connection",
                         peer: self.target.server.to_string(),
                         code: Code::Busy,
                         text: "all connections are in use".to_owned(),
-                    }),
+                    });
+                }
+            },
+        };
+        self.carry_out(grant, account, deadline).await
+    }
+
+    /// Makes a usable connection of what a request got.
+    async fn carry_out(
+        self: &Arc<Self>,
+        grant: Grant,
+        account: &Arc<str>,
+        deadline: Instant,
+    ) -> Result<Lane, Error> {
+        let place = match grant {
+            Grant::Place(place) => place,
+            Grant::Lane(mut lane) => {
+                if self.is_sound(&mut lane) {
+                    return Ok(lane);
                 }
+                lane.into_place()
             }
-            Taken::Closed => Err(self.gone()),
-        }
+        };
+        self.connect(place, account, deadline).await
     }
 
     /// Takes a connection of any account that is not in use, or opens one if there is room.
+    ///
+    /// It is for questions that take no slot of the server, so it waits for nobody's turn.
     pub async fn acquire_any(
         self: &Arc<Self>,
         account: &Arc<str>,
         deadline: Instant,
     ) -> Result<Lane, Error> {
-        let lane = self.take_idle(|_| true);
-        if let Some(lane) = lane {
-            return Ok(lane);
-        }
-        let place = {
+        let grant = {
             let mut inner = lock(&self.inner);
-            if inner.is_closed || inner.taken >= inner.limit {
+            let taken = match inner.idle.pop() {
+                _ if inner.is_closed => None,
+                Some(lane) => Some(Taken::Lane(lane)),
+                None if inner.taken < inner.limit => inner.take(account),
+                None => None,
+            };
+            let Some(taken) = taken else {
                 return Err(self.gone());
-            }
-            inner.taken += 1;
-            Place::new(self)
+            };
+            let account = match &taken {
+                Taken::Lane(lane) => Arc::clone(&lane.account),
+                _ => Arc::clone(account),
+            };
+            inner.on_busy(&account);
+            drop(inner);
+            self.grant(taken, &account)
         };
-        self.connect(place, account, deadline).await
+        self.carry_out(grant, account, deadline).await
     }
 
     /// Puts a connection back that is not in use any more.
-    pub(super) fn put_back(self: &Arc<Self>, lane: Lane) {
-        let mut lane = Some(lane);
-        while let Some(mut current) = lane.take() {
-            current.place_mut().set_idle();
-            let now = self.clock.now();
-            let waiter = {
-                let mut inner = lock(&self.inner);
-                let is_over = inner.is_closed || inner.taken > inner.limit;
-                if is_over {
-                    None
-                } else if let Some(key) = next_waiter(&inner, &current.account, now) {
-                    inner.waiters.remove(&key)
-                } else {
-                    inner.idle.push(current);
-                    return;
-                }
-            };
-            let Some(waiter) = waiter else {
-                // The connection closes, and its place goes on to who waits.
-                return;
-            };
-            let grant = if waiter.account == current.account {
-                current.place_mut().set_busy(&waiter.account);
-                Grant::Lane(current)
+    pub(super) fn put_back(self: &Arc<Self>, mut lane: Lane) {
+        lane.place_mut().set_idle();
+        {
+            let mut inner = lock(&self.inner);
+            if !inner.is_closed && inner.taken <= inner.limit {
+                inner.idle.push(lane);
             } else {
-                Grant::Place(current.into_place())
-            };
-            if let Err(returned) = waiter.sender.send(grant) {
-                match returned {
-                    Grant::Lane(returned) => lane = Some(returned),
-                    Grant::Place(place) => drop(place),
-                }
+                drop(inner);
+                drop(lane);
             }
         }
-    }
-
-    /// Counts a connection in use for an account.
-    pub(super) fn on_busy(&self, account: &Arc<str>) {
-        let mut inner = lock(&self.inner);
-        *inner.busy.entry(Arc::clone(account)).or_default() += 1;
+        self.dispatch();
     }
 
     /// Counts a connection that is not in use for an account any more.
     pub(super) fn on_free(&self, account: &Arc<str>) {
-        let mut inner = lock(&self.inner);
-        let left = inner.busy.get(account).map_or(0, |busy| busy - 1);
-        if left == 0 {
-            inner.busy.remove(account);
-        } else {
-            inner.busy.insert(Arc::clone(account), left);
-        }
+        lock(&self.inner).on_free(account);
     }
 
     /// Frees a place.
     pub(super) fn leave(self: &Arc<Self>) {
         lock(&self.inner).taken -= 1;
-        self.hand_on();
+        self.dispatch();
     }
 
-    /// Gives free places to requests that wait.
-    fn hand_on(self: &Arc<Self>) {
-        loop {
-            let waiter = {
-                let mut inner = lock(&self.inner);
-                if inner.taken >= inner.limit {
-                    return;
+    /// Gives turns to requests that wait.
+    fn dispatch(self: &Arc<Self>) {
+        while let Some((waiter, grant)) = self.next_turn() {
+            match waiter.sender.send(grant) {
+                Ok(()) => {}
+                // The request has given up meanwhile.
+                Err(Grant::Lane(mut lane)) => {
+                    lane.place_mut().set_idle();
+                    lock(&self.inner).idle.push(lane);
                 }
-                let Some((_, waiter)) = inner.waiters.pop_first() else {
-                    return;
-                };
-                inner.taken += 1;
-                waiter
-            };
-            if let Err(Grant::Place(place)) = waiter.sender.send(Grant::Place(Place::new(self))) {
-                place.forget();
-                lock(&self.inner).taken -= 1;
+                Err(Grant::Place(place)) => drop(place),
             }
         }
     }
 
-    fn take(self: &Arc<Self>, account: &Arc<str>, priority: u32) -> Taken {
-        if let Some(lane) = self.take_idle(|lane| lane.account == *account) {
-            return Taken::Lane(lane);
+    fn next_turn(self: &Arc<Self>) -> Option<(Waiter, Grant)> {
+        let mut inner = lock(&self.inner);
+        if inner.running() >= inner.running_limit {
+            return None;
         }
-        let evicted = {
-            let mut inner = lock(&self.inner);
-            if inner.is_closed {
-                return Taken::Closed;
+        let key = inner.next_waiter()?;
+        let account = Arc::clone(&inner.waiters.get(&key)?.account);
+        let taken = inner.take(&account)?;
+        let waiter = inner.waiters.remove(&key)?;
+        inner.on_busy(&account);
+        drop(inner);
+        Some((waiter, self.grant(taken, &account)))
+    }
+
+    /// Turns what was taken into what a request gets; it counts as busy already.
+    fn grant(self: &Arc<Self>, taken: Taken, account: &Arc<str>) -> Grant {
+        match taken {
+            Taken::Lane(mut lane) => {
+                lane.place_mut().mark_busy(account);
+                Grant::Lane(lane)
             }
-            if inner.taken < inner.limit {
-                inner.taken += 1;
-                return Taken::Place(Place::new(self));
+            Taken::Room => {
+                let mut place = Place::new(self);
+                place.mark_busy(account);
+                Grant::Place(place)
             }
-            if inner.idle.is_empty() || inner.is_worth_waiting(account) {
-                let (sender, receiver) = oneshot::channel();
-                let key = (priority, inner.next);
-                inner.next += 1;
-                let waiter = Waiter {
-                    account: Arc::clone(account),
-                    since: self.clock.now(),
-                    sender,
-                };
-                inner.waiters.insert(key, waiter);
-                return Taken::Wait(receiver);
+            Taken::Other(lane) => {
+                let mut place = lane.into_place();
+                place.mark_busy(account);
+                Grant::Place(place)
             }
-            inner.idle.remove(0)
-        };
-        Taken::Place(evicted.into_place())
+        }
     }
 
-    /// Takes the latest used connection that fits, dropping those that the server has closed.
-    fn take_idle(self: &Arc<Self>, fits: impl Fn(&Lane) -> bool) -> Option<Lane> {
-        loop {
-            let mut lane = {
-                let mut inner = lock(&self.inner);
-                let index = inner.idle.iter().rposition(&fits)?;
-                inner.idle.remove(index)
-            };
-            // A connection from before a failure may be one that the server has dropped since.
-            let is_older = lane.rested <= lock(&self.vitals).failed;
-            if !is_older && lane.is_open() {
-                let account = Arc::clone(&lane.account);
-                lane.place_mut().set_busy(&account);
-                return Some(lane);
-            }
+    fn take_or_wait(self: &Arc<Self>, account: &Arc<str>, priority: u32) -> Result<Turn, Error> {
+        let mut inner = lock(&self.inner);
+        if inner.is_closed {
+            return Err(self.gone());
+        }
+        let has_turn = inner.waiters.is_empty() && inner.running() < inner.running_limit;
+        let may_take = inner.idle_for(account).is_some() || !inner.is_worth_waiting(account);
+        if has_turn
+            && may_take
+            && let Some(taken) = inner.take(account)
+        {
+            inner.on_busy(account);
+            drop(inner);
+            return Ok(Turn::Now(self.grant(taken, account)));
         }
+        let (sender, receiver) = oneshot::channel();
+        let key = (priority, inner.next);
+        inner.next += 1;
+        let account = Arc::clone(account);
+        inner.waiters.insert(key, Waiter { account, sender });
+        Ok(Turn::Later(receiver))
+    }
+
+    /// Returns whether a connection that rested can be used.
+    fn is_sound(&self, lane: &mut Lane) -> bool {
+        // A connection from before a failure may be one that the server has dropped since.
+        lane.rested > lock(&self.vitals).failed && lane.is_open()
     }
 
     async fn connect(
         self: &Arc<Self>,
-        mut place: Place,
+        place: Place,
         account: &Arc<str>,
         deadline: Instant,
     ) -> Result<Lane, Error> {
-        place.set_busy(account);
         let begun = self.clock.now();
         if !lock(&self.vitals).may_connect(begun) {
             return Err(self.gone());
@@ -400,19 +472,3 @@
         }
     }
 }
-
-/// Returns the waiter of the highest priority, one of the same account if there is one and no
-/// other has waited for long.
-fn next_waiter(inner: &Inner, account: &Arc<str>, now: Time) -> Option<(u32, u64)> {
-    let (first, head) = inner.waiters.first_key_value()?;
-    if now >= head.since + FAIR_WAIT {
-        return Some(*first);
-    }
-    inner
-        .waiters
-        .iter()
-        .take_while(|((priority, _), _)| *priority == first.0)
-        .find(|(_, waiter)| waiter.account == *account)
-        .map(|(key, _)| *key)
-        .or(Some(*first))
-}
--- a/crates/relay/src/settings/server.rs
+++ b/crates/relay/src/settings/server.rs
@@ -14,6 +14,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// Statements that it runs at a time.
+    pub slots: usize,
     /// Whether it is about to leave.
     pub is_draining: bool,
     /// What it takes itself for.
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -24,7 +24,7 @@
     let vitals: Arc<Mutex<Vitals>> = Arc::default();
     let connector = Arc::new(Links(Group::open()));
     let pool = Pool::open(target, connector, vitals, Arc::new(System::open()));
-    pool.set_limit(limit);
+    pool.set_limits(limit, limit);
     pool
 }
 
@@ -135,3 +135,49 @@
     assert!(second.is_ok(), "an account without connections gets one");
     drop(first);
 }
+
+#[tokio::test(start_paused = true)]
+async fn fewer_statements_run_than_connections_are_open() {
+    let pool = open(4);
+    let mut lanes = Vec::new();
+    for name in ["w", "x", "y", "z"] {
+        lanes.push(pool.acquire(&account(name), 1, soon()).await.expect("room"));
+    }
+    while let Some(lane) = lanes.pop() {
+        lane.release();
+    }
+    pool.set_limits(4, 1);
+    let running = pool
+        .acquire(&account("w"), 1, soon())
+        .await
+        .expect("a turn");
+    assert!(pool.acquire(&account("x"), 1, soon()).await.is_err());
+    running.release();
+    assert!(pool.acquire(&account("x"), 1, soon()).await.is_ok());
+    assert_eq!(pool.taken(), 3, "the dropped connection is closed");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_changes_accounts_once_others_were_passed_over_often_enough() {
+    let pool = open(1);
+    let lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let mut waiting = Vec::new();
+    for name in ["y"].into_iter().chain(["x"; 12]) {
+        let (pool, order) = (Arc::clone(&pool), Arc::clone(&order));
+        waiting.push(tokio::spawn(async move {
+            let deadline = Instant::now() + Duration::from_secs(5);
+            let lane = pool.acquire(&account(name), 1, deadline).await;
+            order.lock().expect("no panic").push(name);
+            lane.expect("a turn").release();
+        }));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    lane.release();
+    for task in waiting {
+        task.await.expect("no panic");
+    }
+    let order = order.lock().expect("no panic").clone();
+    let place = order.iter().position(|name| *name == "y");
+    assert_eq!(place, Some(8), "{order:?}");
+}
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -205,6 +205,7 @@
             group: Arc::from(GROUP),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             zone: Arc::from("z"),
+            slots: 5,
             is_draining,
             role,
             born: 1,
