--- a/crates/relay/src/failover/duty.rs
+++ b/crates/relay/src/failover/duty.rs
@@ -1,6 +1,7 @@
 //! The row that says which instance replaces a group's primary.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -43,6 +44,9 @@
     pub token: u64,
     /// Whether the holder is at work.
     pub phase: Phase,
+    /// The servers that the holder knows may hold acknowledged commits, for whoever takes over.
+    #[serde(default)]
+    pub holders: BTreeSet<Arc<str>>,
 }
 
 impl Duty {
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -494,11 +494,16 @@
             return None;
         }
         let before = row.as_ref().and_then(Duty::read);
+        if let Some(before) = before.as_ref().filter(|duty| duty.phase == Phase::Working) {
+            // Servers that the last holder knew may have vanished before this instance started.
+            self.group.remember(&before.holders);
+        }
         let duty = Duty {
             holder: Arc::clone(&self.node.options.name),
             life,
             token: before.map_or(1, |before| before.token + 1),
             phase: Phase::Working,
+            holders: self.group.holders(now),
         };
         let (condition, write) = duty.replace(&self.group.name, row.as_ref());
         let commit = self.node.parts.table.commit(vec![condition], vec![write]);
@@ -536,6 +541,7 @@
     /// Writes the duty again; returns whether this instance still holds it.
     async fn write_duty(&self, held: &mut Held, phase: Phase) -> bool {
         held.duty.phase = phase;
+        held.duty.holders = self.group.holders(self.node.now());
         let before = Row {
             key: Duty::key(&self.group.name),
             value: Arc::from(""),
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -46,8 +46,8 @@
 struct Vanished {
     /// When its entry vanished.
     at: Time,
-    /// What it last said of itself.
-    entry: settings::Server,
+    /// What it last said of itself, if that was seen here.
+    entry: Option<settings::Server>,
     /// When it was found to have left for good.
     left: Option<Time>,
 }
@@ -194,11 +194,26 @@
     pub fn departed(&self) -> Vec<(Arc<str>, settings::Server)> {
         lock(&self.vanished)
             .iter()
-            .filter(|(_, server)| server.entry.is_draining && server.left.is_none())
-            .map(|(name, server)| (Arc::clone(name), server.entry.clone()))
+            .filter(|(_, server)| server.left.is_none())
+            .filter_map(|(name, server)| Some((Arc::clone(name), server.entry.clone()?)))
+            .filter(|(_, entry)| entry.is_draining)
             .collect()
     }
 
+    /// Counts servers that another instance knew as holders of commits.
+    pub fn remember(&self, names: &BTreeSet<Arc<str>>) {
+        let at = self.clock.now();
+        let servers = lock(&self.servers);
+        let mut vanished = lock(&self.vanished);
+        for name in names.iter().filter(|name| !servers.contains_key(*name)) {
+            vanished.entry(Arc::clone(name)).or_insert(Vanished {
+                at,
+                entry: None,
+                left: None,
+            });
+        }
+    }
+
     /// Notes that a server is known to have left.
     ///
     /// Commits that only it and the primary held may still be missing elsewhere, so it counts as
@@ -287,7 +302,10 @@
         for former in formers {
             self.remove(&former);
         }
-        lock(&self.vanished).retain(|former, server| !is_former(former, server.entry.address));
+        lock(&self.vanished).retain(|former, server| {
+            let address = server.entry.as_ref().map(|entry| entry.address);
+            address.is_none_or(|address| !is_former(former, address))
+        });
     }
 
     fn remove(&self, name: &Arc<str>) {
@@ -303,7 +321,7 @@
         let at = self.clock.now();
         let vanished = Vanished {
             at,
-            entry,
+            entry: Some(entry),
             left: None,
         };
         lock(&self.vanished).insert(Arc::clone(name), vanished);
--- a/crates/relay/tests/relay/duty.rs
+++ b/crates/relay/tests/relay/duty.rs
@@ -1,5 +1,6 @@
 //! Who may replace a primary.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use clock::Span;
@@ -21,6 +22,7 @@
         life: 7,
         token: 3,
         phase,
+        holders: BTreeSet::from([Arc::from("a"), Arc::from("b")]),
     }
 }
 
