--- a/crates/account/src/rate/account.rs
+++ b/crates/account/src/rate/account.rs
@@ -40,6 +40,8 @@
     not_before: Time,
     /// The number of its open asks, at most one unless one was given up.
     open: u32,
+    /// Loans of nothing in a row.
+    empties: u32,
 }
 
 /// One account at one instance.
@@ -178,7 +180,12 @@
             peer.spare = Some(loan.spare);
             peer.spare_at = now;
             if loan.amount == Amount::ZERO {
-                peer.not_before = now + policy.empty;
+                let doublings = peer.empties.min(policy.empty_doublings);
+                let pause = policy.empty.as_micros() << doublings;
+                peer.empties = peer.empties.saturating_add(1);
+                peer.not_before = now + Span::from_micros(pause);
+            } else {
+                peer.empties = 0;
             }
         }
         if loan.limit == self.bucket.limit() && now < until {
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -43,6 +43,8 @@
     pub silence: Span,
     /// How long a peer that lent nothing is not asked again.
     pub empty: Span,
+    /// How often `empty` is doubled for a peer that has nothing to lend again and again.
+    pub empty_doublings: u32,
     /// The most peers that are asked at a time; those with the most to spare come first.
     pub ask_most: usize,
     /// A fault for tests: a repeated loan is applied again.
@@ -76,6 +78,7 @@
             window: Span::from_millis(10),
             silence: Span::from_millis(200),
             empty: Span::from_millis(10),
+            empty_doublings: 0,
             ask_most: usize::MAX,
             repeat_loans: false,
             skip_consent: false,
--- a/crates/relay/src/node/rotation.rs
+++ b/crates/relay/src/node/rotation.rs
@@ -3,8 +3,9 @@
 use clock::Span;
 use clock::Time;
 
-/// Without the store for this long an instance can't serve callers with keys, and others may.
-const OUTAGE: Span = Span::from_millis(2_500);
+/// Without the store for this long an instance soon can't serve callers with keys, and others may.
+/// Its last confirmation may be as old as one long poll when the store goes.
+const OUTAGE: Span = Span::from_millis(3_500);
 
 /// Whether the instance asks for new callers.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -24,7 +24,8 @@
 
 /// Returns the ledger's times for a table whose calls are priced, and for links between zones
 /// whose bytes are: fewer renewals and reads, leases that are longer to match, and few asks to
-/// peers that have nothing to lend.
+/// peers that have nothing to lend. A step is 50 ms, so demand is measured and loans last for a
+/// few steps; a request waits a little rather than be refused while its account has rate left.
 pub fn policy() -> Policy {
     Policy {
         lease: Span::from_secs(9),
@@ -32,7 +33,12 @@
         read: Span::from_millis(3_000),
         read_gap: Span::from_secs(8),
         promise: Span::from_secs(9),
-        empty: Span::from_millis(500),
+        loan: Span::from_millis(300),
+        activation: Span::from_millis(400),
+        max_wait: Span::from_millis(100),
+        window: Span::from_millis(50),
+        empty: Span::from_millis(200),
+        empty_doublings: 3,
         ask_most: 3,
         ..Policy::default()
     }
