--- a/crates/peer/src/seal.rs
+++ b/crates/peer/src/seal.rs
@@ -1,9 +1,5 @@
 //! Encoding and authentication of messages.
 
-use hmac::Hmac;
-use hmac::Mac;
-use sha2::Sha256;
-
 use crate::Error;
 use crate::Frame;
 use crate::frame::VERSION;
@@ -17,35 +13,29 @@
 /// Seals and opens messages with the fleet secret.
 #[derive(Clone)]
 pub struct Seal {
-    mac: Hmac<Sha256>,
+    codes: seal::Seal,
 }
 
 impl Seal {
     /// Opens a seal for the secret.
     pub fn open(secret: &[u8]) -> Self {
-        let mut mac =
-            <Hmac<Sha256> as Mac>::new_from_slice(secret).expect("HMAC takes a key of any length");
-        mac.update(PURPOSE);
-        Self { mac }
+        let codes = seal::Seal::open(secret, PURPOSE, TAG_BYTES);
+        Self { codes }
     }
 
     /// Encodes a message and appends its authentication code.
     pub fn seal(&self, frame: &Frame) -> Result<Vec<u8>, Error> {
         let mut bytes = postcard::to_stdvec(frame).map_err(|_| invalid("seal", "not encodable"))?;
-        let tag = self.mac.clone().chain_update(&bytes).finalize();
-        bytes.extend_from_slice(&tag.into_bytes());
+        self.codes.append(&mut bytes);
         Ok(bytes)
     }
 
     /// Checks the authentication code and the version, and decodes the message.
     pub fn unseal(&self, bytes: &[u8]) -> Result<Frame, Error> {
-        let Some(split) = bytes.len().checked_sub(TAG_BYTES) else {
-            return Err(invalid("unseal", "the message is too short"));
-        };
-        let (content, tag) = bytes.split_at(split);
-        let mac = self.mac.clone().chain_update(content);
-        mac.verify_slice(tag)
-            .map_err(|_| invalid("unseal", "the authentication code is wrong"))?;
+        let content = self
+            .codes
+            .strip(bytes)
+            .ok_or_else(|| invalid("unseal", "the authentication code is wrong"))?;
         let frame: Frame = postcard::from_bytes(content)
             .map_err(|_| invalid("unseal", "the message is malformed"))?;
         if frame.version != VERSION {
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clock::Span;
+use seal::Seal;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -22,6 +24,10 @@
 use crate::peers::Opinion;
 use crate::task;
 
+/// Separates this use of the fleet's secret from others.
+const PURPOSE: &[u8] = b"yuccamount relay 1";
+/// Bytes of an authentication code; 128 bits can't be guessed.
+const CODE_BYTES: usize = 16;
 /// The largest datagram; one Ethernet frame holds it.
 const DATAGRAM_BYTES: usize = 1_400;
 /// Opinions that fit into the queue of one question; a fleet has fewer instances in reach.
@@ -34,6 +40,8 @@
 /// Each may be lost, repeated or late; nothing depends on a single one.
 pub struct Peers {
     socket: UdpSocket,
+    /// Made with the fleet's secret; until it is known nothing is sent or taken in.
+    seal: OnceLock<Seal>,
     next: AtomicU64,
     /// Open questions, by number.
     asked: Mutex<BTreeMap<u64, mpsc::Sender<Opinion>>>,
@@ -50,24 +58,35 @@
             })?;
         Ok(Self {
             socket,
+            seal: OnceLock::new(),
             next: AtomicU64::new(1),
             asked: Mutex::default(),
         })
     }
 
+    /// Takes the fleet's secret.
+    pub fn set_secret(&self, secret: &[u8]) {
+        self.seal
+            .get_or_init(|| Seal::open(secret, PURPOSE, CODE_BYTES));
+    }
+
     /// Sends a datagram.
     pub async fn send(&self, node: &Node, address: SocketAddr, content: Content) {
+        let Some(seal) = self.seal.get() else {
+            return;
+        };
         let datagram = Datagram {
             from: Arc::clone(&node.options.name),
             content,
         };
-        let bytes = match postcard::to_stdvec(&datagram) {
+        let mut bytes = match postcard::to_stdvec(&datagram) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("event=datagram-unsent to={address} why=\"{error}\"");
                 return;
             }
         };
+        seal.append(&mut bytes);
         node.meter.peer_bytes.inc_by(bytes.len() as u64);
         if let Err(error) = self.socket.send_to(&bytes, address).await {
             log::debug!("event=datagram-unsent to={address} why=\"{error}\"");
@@ -111,7 +130,13 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+        let seal = node.peers.seal.get();
+        let Some(content) = seal.and_then(|seal| seal.strip(&buffer[..length])) else {
+            node.journal
+                .request(format_args!("event=datagram-refused from={address}"));
+            continue;
+        };
+        match postcard::from_bytes::<Datagram>(content) {
             Ok(datagram) => take(&node, address, datagram).await,
             Err(error) => log::warn!("event=datagram-unknown from={address} why=\"{error}\""),
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -69,6 +69,7 @@
     ));
     tokio::spawn(task::follow_revisions(Arc::clone(&node)));
     tokio::spawn(task::follow_servers(Arc::clone(&node)));
+    tokio::spawn(task::learn_secret(Arc::clone(&node)));
     tokio::spawn(task::keep_lease(Arc::clone(&node)));
     tokio::spawn(task::step_ledger(Arc::clone(&node)));
     tokio::spawn(peers::run(Arc::clone(&node)));
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -4,6 +4,7 @@
 mod lease;
 mod ledger;
 mod revisions;
+mod secret;
 mod servers;
 
 pub use lease::LEASE;
@@ -13,5 +14,6 @@
 pub use ledger::policy as rate_policy;
 pub use ledger::run as step_ledger;
 pub use revisions::run as follow_revisions;
+pub use secret::run as learn_secret;
 pub use servers::Absences;
 pub use servers::run as follow_servers;
--- /dev/null
+++ b/crates/seal/src/lib.rs
@@ -0,0 +1,5 @@
+//! Authentication codes for messages between instances.
+
+mod seal;
+
+pub use seal::Seal;
