Refuse statements at once when the line at a server is too long

Ruled out: opened connections, and a partition. A statement now waits half of its route's target and does not join a line whose head has waited a quarter of it.

--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -38,6 +38,14 @@
         /// More about the cause.
         text: String,
     },
+    /// Too many requests wait already; nothing was sent.
+    #[snafu(display("{step} at {peer}: too many wait"))]
+    Overloaded {
+        /// What was being done.
+        step: &'static str,
+        /// The other side.
+        peer: String,
+    },
     /// There was no answer in time.
     #[snafu(display("{step} at {peer}: no answer in time"))]
     Silent {
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use clock::Clock;
+use clock::Span;
+use clock::Time;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -17,6 +19,7 @@
 use crate::message::Code;
 use crate::node::lock;
 use crate::pool::Lane;
+use crate::pool::Patience;
 use crate::pool::Place;
 
 /// Longest wait for a new connection; a server needs 10 to 30 ms of a free slot for one.
@@ -39,6 +42,8 @@
 
 struct Waiter {
     account: Arc<str>,
+    /// When it began to wait.
+    since: Time,
     sender: oneshot::Sender<Grant>,
 }
 
@@ -235,28 +240,26 @@
     }
 
     /// Takes a connection for an account, or opens one.
+    ///
+    /// Returns `Error::Overloaded` at once if the wait is likely to be too long, or when it was.
     pub async fn acquire(
         self: &Arc<Self>,
         account: &Arc<str>,
         priority: u32,
-        deadline: Instant,
+        patience: Patience,
     ) -> Result<Lane, Error> {
-        let grant = match self.take_or_wait(account, priority)? {
+        let grant = match self.take_or_wait(account, priority, patience.line)? {
             Turn::Now(grant) => grant,
-            Turn::Later(receiver) => match timeout_at(deadline, receiver).await {
-                Ok(Ok(grant)) => grant,
-                Ok(Err(_)) => return Err(self.gone()),
-                Err(_) => {
-                    return Err(Error::Refused {
-                        step: "wait for a connection",
-                        peer: self.target.server.to_string(),
-                        code: Code::Busy,
-                        text: "all connections are in use".to_owned(),
-                    });
+            Turn::Later(receiver) => {
+                let until = patience.deadline.min(Instant::now() + patience.wait.into());
+                match timeout_at(until, receiver).await {
+                    Ok(Ok(grant)) => grant,
+                    Ok(Err(_)) => return Err(self.gone()),
+                    Err(_) => return Err(self.overloaded()),
                 }
-            },
+            }
         };
-        self.carry_out(grant, account, deadline).await
+        self.carry_out(grant, account, patience.deadline).await
     }
 
     /// Makes a usable connection of what a request got.
@@ -383,11 +386,26 @@
         }
     }
 
-    fn take_or_wait(self: &Arc<Self>, account: &Arc<str>, priority: u32) -> Result<Turn, Error> {
+    fn take_or_wait(
+        self: &Arc<Self>,
+        account: &Arc<str>,
+        priority: u32,
+        line: Span,
+    ) -> Result<Turn, Error> {
+        let now = self.clock.now();
         let mut inner = lock(&self.inner);
         if inner.is_closed {
             return Err(self.gone());
         }
+        // Who stands at the front of the line has waited for as long as the next one would.
+        let longest = inner
+            .waiters
+            .range(..(priority + 1, 0))
+            .map(|(_, waiter)| waiter.since)
+            .min();
+        if longest.is_some_and(|since| now >= since + line) {
+            return Err(self.overloaded());
+        }
         let has_turn = inner.waiters.is_empty() && inner.running() < inner.running_limit;
         let may_take = inner.idle_for(account).is_some() || !inner.is_worth_waiting(account);
         if has_turn
@@ -402,7 +420,12 @@
         let key = (priority, inner.next);
         inner.next += 1;
         let account = Arc::clone(account);
-        inner.waiters.insert(key, Waiter { account, sender });
+        let waiter = Waiter {
+            account,
+            since: now,
+            sender,
+        };
+        inner.waiters.insert(key, waiter);
         Ok(Turn::Later(receiver))
     }
 
@@ -463,6 +486,13 @@
         Err(failure)
     }
 
+    fn overloaded(&self) -> Error {
+        Error::Overloaded {
+            step: "wait for a connection",
+            peer: self.target.server.to_string(),
+        }
+    }
+
     fn gone(&self) -> Error {
         Error::Refused {
             step: "take a connection",
--- a/crates/relay/src/session/context.rs
+++ b/crates/relay/src/session/context.rs
@@ -17,6 +17,7 @@
 use crate::message::Statement;
 use crate::node::Node;
 use crate::pool::Lane;
+use crate::pool::Patience;
 use crate::settings::Route;
 
 /// A read, write or commit of a session, with all that decides how it runs.
@@ -89,6 +90,11 @@
         Ok(rest)
     }
 
+    /// Returns how long the statement waits for its turn at a server.
+    pub fn patience(&self) -> Patience {
+        Patience::of_target(self.route.target, self.deadline)
+    }
+
     /// Returns whether the deadline has come.
     pub fn is_late(&self) -> bool {
         Instant::now() >= self.deadline
@@ -114,10 +120,21 @@
 pub enum Refusal {
     /// Another server, or a later try, may answer.
     Elsewhere(String),
+    /// The server has more waiting than it can answer in time.
+    Overloaded,
     /// The answer is final.
     Final(Failure),
 }
 
+impl From<Error> for Refusal {
+    fn from(error: Error) -> Self {
+        match error {
+            Error::Overloaded { .. } => Self::Overloaded,
+            other => Self::Elsewhere(other.to_string()),
+        }
+    }
+}
+
 /// Why a lane could not be used.
 #[derive(Debug)]
 pub enum Trouble {
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -28,6 +28,9 @@
 /// answers some statement within a few tens of milliseconds.
 const SILENCE: Duration = Duration::from_millis(350);
 
+/// Why a statement is refused under overload.
+pub const OVERLOADED: &str = "more statements wait for the servers than they can answer in time";
+
 /// Where a read goes.
 pub enum Place {
     /// To a server that holds the floor.
@@ -72,6 +75,7 @@
 /// Runs a read; it may be tried at several servers, as it changes nothing.
 pub async fn run(job: &Job<'_>) -> Reply {
     let mut tried = BTreeSet::new();
+    let mut is_overloaded = false;
     loop {
         if job.is_late() {
             return not_run(job, "no server could take the read in time");
@@ -83,6 +87,9 @@
                 if let Some(failure) = nowhere(job, false) {
                     return Reply::failed(failure, State::Idle);
                 }
+                if is_overloaded {
+                    return not_run(job, OVERLOADED);
+                }
                 tried.clear();
                 job.pause(RETRY_PAUSE).await;
                 continue;
@@ -91,6 +98,11 @@
         match attempt(job, &server, floor).await {
             Ok(reply) => return reply,
             Err(Refusal::Final(failure)) => return Reply::failed(failure, State::Idle),
+            Err(Refusal::Overloaded) => {
+                job.log_try(&server.name, &OVERLOADED);
+                is_overloaded = true;
+                tried.insert(Arc::clone(&server.name));
+            }
             Err(Refusal::Elsewhere(why)) => {
                 job.log_try(&server.name, &why);
                 tried.insert(Arc::clone(&server.name));
@@ -104,13 +116,12 @@
     server: &Arc<Server>,
     floor: Option<Position>,
 ) -> Result<Reply, Refusal> {
-    let elsewhere = |error: Error| Refusal::Elsewhere(error.to_string());
     let priority = job.route.priority;
     let acquired = server
         .pool
-        .acquire(job.account, priority, job.deadline)
+        .acquire(job.account, priority, job.patience())
         .await;
-    let mut lane = acquired.map_err(elsewhere)?;
+    let mut lane = acquired.map_err(Refusal::from)?;
     let adapted = job.adapt(&mut lane, None).await;
     adapted.map_err(|trouble| Refusal::Elsewhere(trouble.to_string()))?;
     if let Some(failure) = job.node.still_allowed(job) {
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -186,6 +186,7 @@
     /// Begins the server's transaction.
     async fn begin(&mut self, job: &Job<'_>) -> Result<(), Failure> {
         let mut tried = BTreeSet::new();
+        let mut is_overloaded = false;
         let may_use_replica = self.is_read_only && job.route.freshness != Freshness::Latest;
         loop {
             if job.is_late() {
@@ -206,6 +207,10 @@
                 read::Place::Any(server, floor) => (server, Some(floor)),
                 read::Place::Leader(server) => (server, None),
                 read::Place::Nowhere => {
+                    if is_overloaded {
+                        let reply = read::not_run(job, read::OVERLOADED);
+                        return reply.outcome.map(|_| ());
+                    }
                     tried.clear();
                     job.pause(RETRY_PAUSE).await;
                     continue;
@@ -217,6 +222,15 @@
                     return Ok(());
                 }
                 Err(Refusal::Final(failure)) => return Err(failure),
+                Err(Refusal::Overloaded) if !may_use_replica => {
+                    let reply = read::not_run(job, read::OVERLOADED);
+                    return reply.outcome.map(|_| ());
+                }
+                Err(Refusal::Overloaded) => {
+                    job.log_try(&server.name, &read::OVERLOADED);
+                    is_overloaded = true;
+                    tried.insert(Arc::clone(&server.name));
+                }
                 Err(Refusal::Elsewhere(why)) => {
                     job.log_try(&server.name, &why);
                     if !tried.insert(Arc::clone(&server.name)) || !may_use_replica {
@@ -236,9 +250,9 @@
         let priority = job.route.priority;
         let acquired = server
             .pool
-            .acquire(job.account, priority, job.deadline)
+            .acquire(job.account, priority, job.patience())
             .await;
-        let mut lane = acquired.map_err(|error| Refusal::Elsewhere(error.to_string()))?;
+        let mut lane = acquired.map_err(Refusal::from)?;
         if let Some(failure) = job.node.still_allowed(job) {
             lane.release();
             return Err(Refusal::Final(failure));
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::Error;
 use crate::group::Server;
 use crate::message::Code;
 use crate::message::Failure;
 use crate::message::Reply;
 use crate::message::State;
 use crate::session::Job;
+use crate::session::read::OVERLOADED;
 use crate::session::read::not_run;
 use crate::session::read::nowhere;
 
@@ -50,10 +52,11 @@
     let priority = job.route.priority;
     let mut lane = match server
         .pool
-        .acquire(job.account, priority, job.deadline)
+        .acquire(job.account, priority, job.patience())
         .await
     {
         Ok(lane) => lane,
+        Err(Error::Overloaded { .. }) => return Attempt::Answer(not_run(job, OVERLOADED)),
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
     if let Err(trouble) = job.adapt(&mut lane, None).await {
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -5,9 +5,11 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use clock::Span;
 use clock::System;
 use relay::border::Target;
 use relay::group::Vitals;
+use relay::pool::Patience;
 use relay::pool::Pool;
 use tokio::time::Instant;
 
@@ -28,8 +30,12 @@
     pool
 }
 
-fn soon() -> Instant {
-    Instant::now() + Duration::from_millis(100)
+fn soon() -> Patience {
+    Patience {
+        wait: Span::from_millis(100),
+        line: Span::from_millis(100),
+        deadline: Instant::now() + Duration::from_secs(10),
+    }
 }
 
 fn account(name: &str) -> Arc<str> {
@@ -166,8 +172,7 @@
     for name in ["y"].into_iter().chain(["x"; 12]) {
         let (pool, order) = (Arc::clone(&pool), Arc::clone(&order));
         waiting.push(tokio::spawn(async move {
-            let deadline = Instant::now() + Duration::from_secs(5);
-            let lane = pool.acquire(&account(name), 1, deadline).await;
+            let lane = pool.acquire(&account(name), 1, soon()).await;
             order.lock().expect("no panic").push(name);
             lane.expect("a turn").release();
         }));
@@ -181,3 +186,27 @@
     let place = order.iter().position(|name| *name == "y");
     assert_eq!(place, Some(8), "{order:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn nobody_joins_a_line_that_is_too_long() {
+    let pool = open(1);
+    let _lane = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    let waiting = tokio::spawn({
+        let pool = Arc::clone(&pool);
+        async move { pool.acquire(&account("x"), 1, soon()).await.is_ok() }
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let hasty = Patience {
+        line: Span::from_millis(30),
+        ..soon()
+    };
+    let begun = Instant::now();
+    let refused = pool.acquire(&account("x"), 1, hasty).await;
+    assert!(matches!(refused, Err(relay::Error::Overloaded { .. })));
+    assert_eq!(begun.elapsed(), Duration::ZERO, "it is refused at once");
+    let urgent = pool.acquire(&account("x"), 0, hasty).await;
+    assert!(urgent.is_err());
+    let waited = begun.elapsed();
+    assert!(waited > Duration::ZERO, "nobody as urgent waited before it");
+    assert!(!waiting.await.expect("no panic"));
+}
