--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -84,6 +84,8 @@
     pub rotation: Mutex<Rotation>,
     /// Whether the process was told to stop.
     pub is_leaving: AtomicBool,
+    /// Notified when settings came into force.
+    pub applied: Notify,
     /// Notified when sessions that rest should look whether to close.
     pub leaving: Notify,
     /// The counters.
@@ -137,6 +139,7 @@
             shares: Mutex::default(),
             rotation: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            applied: Notify::new(),
             leaving: Notify::new(),
             meter: Meter::open(),
             journal,
@@ -194,6 +197,18 @@
             .collect();
         lock(&self.ledger).on_settings(self.now(), revision.number, &limits);
         self.apply_groups(&revision);
+        self.applied.notify_waiters();
+    }
+
+    /// Waits until settings are known.
+    pub async fn wait_for_settings(&self) {
+        loop {
+            let applied = self.applied.notified();
+            if self.revision().number > 0 {
+                return;
+            }
+            applied.await;
+        }
     }
 
     /// Takes a server's entry, `None` once it is gone.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -14,6 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::Error;
 use crate::border::Listener;
@@ -82,6 +83,8 @@
 }
 
 async fn accept(node: Arc<Node>, listener: Box<dyn Listener>) {
+    // Until then no caller could be told whether its database and key are there.
+    node.wait_for_settings().await;
     loop {
         match listener.accept().await {
             Ok(caller) => {
@@ -125,7 +128,8 @@
         if !is_ready {
             node.leaving.notify_waiters();
         }
-        sleep(LOOK_EVERY).await;
+        // New settings may bring new groups.
+        let _elapsed = timeout(LOOK_EVERY, node.applied.notified()).await;
     }
 }
 
--- a/crates/relay/src/task/leader.rs
+++ b/crates/relay/src/task/leader.rs
@@ -5,7 +5,7 @@
 
 use clock::Span;
 use tokio::time::Instant;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::failover;
 use crate::group::Group;
@@ -26,9 +26,10 @@
 /// Watches a group's leader until the process ends.
 pub async fn run(node: Arc<Node>, group: Arc<Group>) {
     loop {
-        sleep(LOOK_EVERY).await;
         look(&node, &group).await;
         failover::look(&node, &group).await;
+        // A server that has just entered itself may be the leader.
+        let _elapsed = timeout(LOOK_EVERY, group.changed.notified()).await;
     }
 }
 
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -14,7 +14,8 @@
 use crate::settings::Revision;
 
 /// How long the store holds a question for changes. Each answer confirms that the keys are in
-/// force, so it lies well below the grace of the keys of 3 s.
+/// force, so it lies well below their grace. It is longer than the second for which a store may
+/// keep changes back before it forgets its history, so that no answer falls into that second.
 const WAIT: Duration = Duration::from_millis(1_300);
 /// Beyond the wait, how long an answer may take before the connection counts as dead.
 const PATIENCE: Duration = Duration::from_millis(700);
