--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -39,7 +39,12 @@
                 .await
                 .map(|read| read.map(Followed::Batch)),
             Some(after) => {
-                let wait = absences.next_look(node.now()).unwrap_or(WAIT).min(WAIT);
+                // After an outage the answer is wanted at once.
+                let wait = match absences.next_look(node.now()) {
+                    _ if is_lost => Duration::ZERO,
+                    Some(wait) => wait.min(WAIT),
+                    None => WAIT,
+                };
                 timeout(wait + PATIENCE, node.parts.servers.follow(after, wait)).await
             }
         };
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -303,3 +303,22 @@
     assert!(ran as f64 <= most, "{ran} of 100 ran in {seconds} s");
     assert!(ran >= 10, "{ran} of 100 ran");
 }
+
+#[tokio::test(start_paused = true)]
+async fn entries_are_followed_again_at_once_when_the_store_is_back() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.servers.set_down(true);
+    sleep(Duration::from_millis(1_000)).await;
+    world.servers.set_down(false);
+    sleep(Duration::from_millis(300)).await;
+    world.enter("a", 1, true);
+    sleep(Duration::from_millis(1_500)).await;
+    assert_ne!(
+        world.group.leader().as_deref(),
+        Some("a"),
+        "it said that it leaves, and the instance learned it"
+    );
+}
