--- /dev/null
+++ b/crates/relay/src/failover/held.rs
@@ -0,0 +1,107 @@
+//! A duty that this instance holds.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use store::Outcome;
+use store::Row;
+use tokio::time::timeout;
+
+use crate::failover::Duty;
+use crate::failover::Phase;
+use crate::group::Group;
+use crate::node::Node;
+
+/// Longest wait for a call to the table.
+const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A duty that this instance holds.
+pub struct Held {
+    /// The content of the row.
+    pub duty: Duty,
+    /// The version of the row.
+    version: u64,
+}
+
+impl Held {
+    /// Takes a group's duty; `None` if another instance has it or the table does not answer.
+    pub async fn take(node: &Node, group: &Group) -> Option<Self> {
+        let key = Duty::key(&group.name);
+        let row = read(node, group, &key).await?;
+        let now = node.now();
+        if !node
+            .duties
+            .may_take(now, &group.name, row.as_ref(), node.life)
+        {
+            return None;
+        }
+        let before = row.as_ref().and_then(Duty::read);
+        if let Some(before) = before.as_ref().filter(|duty| duty.phase == Phase::Working) {
+            // Servers that the last holder knew may have vanished before this instance started.
+            group.remember(&before.holders);
+        }
+        // Tokens are far below the store's versions, so one of these follows any lost token.
+        let unreadable = row.as_ref().map_or(0, |row| row.version);
+        let duty = Duty {
+            holder: Arc::clone(&node.options.name),
+            life: node.life,
+            token: before.map_or(unreadable, |before| before.token) + 1,
+            phase: Phase::Working,
+            holders: group.holders(now),
+        };
+        let (condition, write) = duty.replace(&group.name, row.as_ref());
+        let commit = node.parts.table.commit(vec![condition], vec![write]);
+        match timeout(TABLE_TIMEOUT, commit).await {
+            Ok(Ok(Outcome::Committed { version })) => Some(Self { duty, version }),
+            Ok(Ok(Outcome::Conflict { .. })) => None,
+            failed => {
+                log::info!(
+                    "event=duty-in-doubt group={} why=\"{failed:?}\"",
+                    group.name
+                );
+                let row = read(node, group, &key).await??;
+                let is_ours = Duty::read(&row).is_some_and(|read| read == duty);
+                is_ours.then_some(Self {
+                    duty,
+                    version: row.version,
+                })
+            }
+        }
+    }
+
+    /// Writes the duty again; returns whether this instance still holds it.
+    pub async fn write(&mut self, node: &Node, group: &Group, phase: Phase) -> bool {
+        self.duty.phase = phase;
+        self.duty.holders = group.holders(node.now());
+        let before = Row {
+            key: Duty::key(&group.name),
+            value: Arc::from(""),
+            version: self.version,
+        };
+        let (condition, write) = self.duty.replace(&group.name, Some(&before));
+        let commit = node.parts.table.commit(vec![condition], vec![write]);
+        match timeout(TABLE_TIMEOUT, commit).await {
+            Ok(Ok(Outcome::Committed { version })) => {
+                self.version = version;
+                true
+            }
+            failed => {
+                log::info!(
+                    "event=duty-unwritten group={} why=\"{failed:?}\"",
+                    group.name
+                );
+                false
+            }
+        }
+    }
+}
+
+async fn read(node: &Node, group: &Group, key: &str) -> Option<Option<Row>> {
+    match timeout(TABLE_TIMEOUT, node.parts.table.get(key)).await {
+        Ok(Ok(row)) => Some(row),
+        failed => {
+            log::info!("event=duty-unread group={} why=\"{failed:?}\"", group.name);
+            None
+        }
+    }
+}
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -1,6 +1,9 @@
 //! The replacement of primaries that fail or leave.
 
+mod command;
 mod duty;
+mod held;
+mod look;
 mod replacement;
 mod survey;
 mod suspicion;
@@ -8,8 +11,8 @@
 pub use duty::Duties;
 pub use duty::Duty;
 pub use duty::Phase;
-pub use replacement::look;
-pub use replacement::watch_departed;
+pub use look::look;
+pub use look::watch_departed;
 pub use survey::Choice;
 pub use survey::Survey;
 pub use suspicion::Reason;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,48 +1,40 @@
 //! The replacement of a group's primary, step by step.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clock::Span;
-use clock::Time;
 use endpoint::Position;
 use endpoint::Role;
 use futures::future::join;
 use futures::future::join_all;
-use store::Outcome;
-use store::Row;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::border::Order;
 use crate::border::Status;
-use crate::border::Target;
 use crate::border::Verdict;
 use crate::failover::Choice;
-use crate::failover::Duty;
 use crate::failover::Phase;
 use crate::failover::Reason;
-use crate::failover::Sight;
 use crate::failover::Survey;
+use crate::failover::command;
+use crate::failover::held::Held;
 use crate::group::Group;
 use crate::group::Server;
-use crate::message::Code;
-use crate::message::Request;
 use crate::message::Statement;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Content;
+use crate::peers::Opinion;
 use crate::settings;
 use crate::task;
 
 /// Longest wait for other instances' opinions; a round trip between zones takes 3 ms.
 const OPINION_WAIT: Duration = Duration::from_millis(80);
-/// Longest wait for a call to the table.
-const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest wait for a server's answer to an order or a status question.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a promotion.
 const PROMOTE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause between two tries of a step.
@@ -52,8 +44,6 @@
 /// How often replicas are tried to be resumed; a server that is back from a partition drops the
 /// connections from before within three seconds.
 const RESUME_TRIES: u32 = 40;
-/// The period of looks whether a server that said it leaves has left.
-const DEPARTED_EVERY: Duration = Duration::from_millis(1_000);
 /// How long a promoted server may take to prove itself.
 const PROOF_WAIT: Duration = Duration::from_millis(2_500);
 /// After this time an instance knows all servers that were there in the last half minute.
@@ -63,87 +53,31 @@
 /// A try that waits is logged once in this many.
 const TRIES_PER_LINE: u32 = 8;
 
-/// Looks whether the primary is to be replaced, and starts that.
-pub async fn look(node: &Arc<Node>, group: &Arc<Group>) {
-    let now = node.now();
-    let is_cut_off = !lock(&node.rotation).is_ready();
-    let is_leaving = node.is_leaving.load(Ordering::Relaxed);
-    if is_cut_off || is_leaving || group.servers().is_empty() {
-        return;
-    }
-    let sight = sight(now, group);
-    let Some(reason) = lock(&group.suspicion).step(now, &sight) else {
-        return;
-    };
-    if group.is_in_failover.swap(true, Ordering::Relaxed) {
-        return;
-    }
-    let node = Arc::clone(node);
-    let group = Arc::clone(group);
-    tokio::spawn(async move {
-        let replacement = Replacement {
-            node: &node,
-            group: &group,
-            reason,
-            old: group.leader(),
-        };
-        replacement.run().await;
-        lock(&group.suspicion).on_tried(node.now());
-        group.is_in_failover.store(false, Ordering::Relaxed);
-    });
-}
-
-/// Finds out which servers that said they leave have left, until the process ends.
-pub async fn watch_departed(node: Arc<Node>, group: Arc<Group>) {
-    loop {
-        sleep(DEPARTED_EVERY).await;
-        for (name, entry) in group.departed() {
-            let answer = command(&node, &group, &name, &entry, &Statement::Status).await;
-            if answer.is_err_and(|error| shows_absence(&error)) {
-                group.on_left(&name);
-            }
-        }
-    }
-}
-
-/// Returns whether an error shows that a server is not there any more.
-fn shows_absence(error: &crate::Error) -> bool {
-    // Nobody listens there, or another server does.
-    matches!(
-        error,
-        crate::Error::Absent { .. }
-            | crate::Error::Refused {
-                code: Code::OtherServer,
-                ..
-            }
-    )
-}
-
-fn sight(now: Time, group: &Group) -> Sight {
-    let proven = lock(&group.lead).proven();
-    let Some(leader) = group.leader() else {
-        return Sight::default();
-    };
-    let vitals = lock(&leader.vitals);
-    Sight {
-        is_known: true,
-        is_leaving: leader.is_draining(),
-        proven,
-        heard: vitals.heard,
-        is_stuck: vitals.is_stuck(now),
-    }
-}
-
 /// One try to replace a primary.
-struct Replacement<'a> {
+pub struct Replacement<'a> {
     node: &'a Arc<Node>,
     group: &'a Arc<Group>,
     reason: Reason,
+    /// The primary as it was known when the try began.
     old: Option<Arc<Server>>,
+    /// The newest term that any server has reported; orders need a later one.
+    term: AtomicU64,
 }
 
-impl Replacement<'_> {
-    async fn run(&self) {
+impl<'a> Replacement<'a> {
+    /// Prepares to replace the present primary of a group.
+    pub fn of(node: &'a Arc<Node>, group: &'a Arc<Group>, reason: Reason) -> Self {
+        Self {
+            node,
+            group,
+            reason,
+            old: group.leader(),
+            term: AtomicU64::new(lock(&group.lead).term()),
+        }
+    }
+
+    /// Replaces the primary if the other instances agree that it must be, and if it can be.
+    pub async fn run(&self) {
         let opinions = self
             .node
             .peers
@@ -162,8 +96,12 @@
             // Most others are out of reach, so they may have a primary that this one can't see.
             self.group.is_led_elsewhere.store(true, Ordering::Relaxed);
         }
-        let is_vouched = vouchers * 2 > opinions.len() + 1;
-        if (self.reason == Reason::Silent && is_vouched) || newer > 0 {
+        let is_vouched = match self.reason {
+            Reason::Silent => vouchers * 2 > opinions.len() + 1,
+            Reason::Stuck => opinions.iter().any(Opinion::has_committed_lately),
+            Reason::Leaving | Reason::Missing => false,
+        };
+        if is_vouched || newer > 0 {
             log::info!(
                 "event=failover-put-off group={} reason={} vouchers={vouchers} newer={newer} asked={}",
                 self.group.name,
@@ -175,7 +113,7 @@
             {
                 self.group.on_deposed(old);
             }
-            if newer == 0 {
+            if newer == 0 && self.reason == Reason::Silent {
                 self.group.is_led_elsewhere.store(true, Ordering::Relaxed);
             }
             return;
@@ -187,7 +125,7 @@
         if !self.knows_enough() {
             return;
         }
-        let Some(mut held) = self.take_duty().await else {
+        let Some(mut held) = Held::take(self.node, self.group).await else {
             return;
         };
         log::info!(
@@ -206,10 +144,10 @@
             held.duty.token,
             self.node.now().since(begun).as_millis()
         );
-        if promoted.is_some() {
-            self.resume().await;
+        if let Some(leader) = &promoted {
+            self.resume(leader).await;
         }
-        self.write_duty(&mut held, Phase::Done).await;
+        held.write(self.node, self.group, Phase::Done).await;
     }
 
     /// Returns whether the group's servers are known well enough to replace a primary.
@@ -270,7 +208,7 @@
             }
             if self.node.now() >= renewed + RENEWAL {
                 renewed = self.node.now();
-                if !self.write_duty(held, Phase::Working).await {
+                if !held.write(self.node, self.group, Phase::Working).await {
                     return None;
                 }
             }
@@ -310,7 +248,14 @@
             .filter(|server| server.is_draining())
             .map(|server| Arc::clone(&server.name))
             .collect();
-        let term = lock(&self.group.lead).term().max(survey.acknowledged.term) + 1;
+        let term = self
+            .term
+            .load(Ordering::Relaxed)
+            .max(survey.acknowledged.term)
+            + 1;
+        // What was paused may have started anew since the last look.
+        survey.paused.clear();
+        survey.following.clear();
         let is_planned = self.reason == Reason::Leaving;
         let asked = servers.iter().map(|server| async move {
             let is_old = self.old.as_ref().is_some_and(|old| old.name == server.name);
@@ -341,16 +286,16 @@
                 continue;
             };
             let name = Arc::clone(&server.name);
+            self.term
+                .fetch_max(status.term.max(status.paused), Ordering::Relaxed);
             if status.role == Role::Primary {
                 // It leads under a term that is not known here yet.
                 task::leader::ask(self.node, self.group, server).await;
             } else if is_old {
                 survey.demoted = Some((name, status.received));
             } else if status.paused > 0 {
-                survey.following.remove(&name);
                 survey.paused.insert(name, status.received);
             } else {
-                survey.paused.remove(&name);
                 survey.following.insert(name, status.received);
             }
         }
@@ -363,7 +308,7 @@
         entry: &settings::Server,
         term: u64,
     ) -> Option<(Arc<str>, Position)> {
-        match command(
+        match command::apart(
             self.node,
             self.group,
             name,
@@ -377,7 +322,7 @@
                 Some((Arc::clone(name), status.received))
             }
             Err(error) => {
-                if shows_absence(&error) {
+                if command::shows_absence(&error) {
                     self.group.on_left(name);
                 }
                 None
@@ -416,7 +361,11 @@
             if let Some(server) = self.group.server(chosen) {
                 task::leader::ask(self.node, self.group, &server).await;
             }
-            if self.newer_leader().is_some() {
+            if self
+                .group
+                .leader()
+                .is_some_and(|leader| leader.name == *chosen)
+            {
                 return;
             }
             sleep(RETRY_PAUSE / 2).await;
@@ -435,14 +384,13 @@
     }
 
     /// Lets paused replicas receive again.
-    async fn resume(&self) {
-        let leader = self.newer_leader();
+    async fn resume(&self, leader: &Arc<str>) {
         for _ in 0..RESUME_TRIES {
             let mut waiting = false;
             let servers = self.group.servers();
             let resumed = servers
                 .iter()
-                .filter(|server| leader.as_ref() != Some(&server.name))
+                .filter(|server| server.name != *leader)
                 .map(|server| self.control(server, &Statement::Resume));
             for status in join_all(resumed).await {
                 waiting |= status.is_none_or(|status| status.paused > 0);
@@ -458,163 +406,13 @@
     /// Runs an order or a status question at a server.
     async fn control(&self, server: &Arc<Server>, statement: &Statement) -> Option<Status> {
         let is_old = self.old.as_ref().is_some_and(|old| old.name == server.name);
-        if !is_old && let Some(status) = self.control_pooled(server, statement).await {
+        if !is_old && let Some(status) = command::on_pool(self.node, server, statement).await {
             return Some(status);
         }
         let entry = lock(&server.entry).clone();
-        command(self.node, self.group, &server.name, &entry, statement)
+        command::apart(self.node, self.group, &server.name, &entry, statement)
             .await
             .ok()
             .flatten()
     }
-
-    /// Runs an order on a connection of the pool, if one is free.
-    async fn control_pooled(&self, server: &Arc<Server>, statement: &Statement) -> Option<Status> {
-        let account = self.node.revision().accounts.keys().next().cloned()?;
-        let deadline = Instant::now() + CONTROL_TIMEOUT / 2;
-        let mut lane = server.pool.acquire_any(&account, deadline).await.ok()?;
-        let request = Request::own(statement.clone());
-        let replies = lane.exchange(&[request], deadline).await.ok()?;
-        let status = lane.status(&replies[0]);
-        lane.release();
-        status
-    }
-
-    /// Takes the duty; `None` if another instance has it or the table does not answer.
-    async fn take_duty(&self) -> Option<Held> {
-        let key = Duty::key(&self.group.name);
-        let row = self.read_duty(&key).await?;
-        let now = self.node.now();
-        let life = self.node.life;
-        if !self
-            .node
-            .duties
-            .may_take(now, &self.group.name, row.as_ref(), life)
-        {
-            return None;
-        }
-        let before = row.as_ref().and_then(Duty::read);
-        if let Some(before) = before.as_ref().filter(|duty| duty.phase == Phase::Working) {
-            // Servers that the last holder knew may have vanished before this instance started.
-            self.group.remember(&before.holders);
-        }
-        let duty = Duty {
-            holder: Arc::clone(&self.node.options.name),
-            life,
-            token: before.map_or(1, |before| before.token + 1),
-            phase: Phase::Working,
-            holders: self.group.holders(now),
-        };
-        let (condition, write) = duty.replace(&self.group.name, row.as_ref());
-        let commit = self.node.parts.table.commit(vec![condition], vec![write]);
-        match timeout(TABLE_TIMEOUT, commit).await {
-            Ok(Ok(Outcome::Committed { version })) => Some(Held { duty, version }),
-            Ok(Ok(Outcome::Conflict { .. })) => None,
-            failed => {
-                log::info!(
-                    "event=duty-in-doubt group={} why=\"{failed:?}\"",
-                    self.group.name
-                );
-                let row = self.read_duty(&key).await??;
-                let is_ours = Duty::read(&row).is_some_and(|read| read == duty);
-                is_ours.then_some(Held {
-                    duty,
-                    version: row.version,
-                })
-            }
-        }
-    }
-
-    async fn read_duty(&self, key: &str) -> Option<Option<Row>> {
-        match timeout(TABLE_TIMEOUT, self.node.parts.table.get(key)).await {
-            Ok(Ok(row)) => Some(row),
-            failed => {
-                log::info!(
-                    "event=duty-unread group={} why=\"{failed:?}\"",
-                    self.group.name
-                );
-                None
-            }
-        }
-    }
-
-    /// Writes the duty again; returns whether this instance still holds it.
-    async fn write_duty(&self, held: &mut Held, phase: Phase) -> bool {
-        held.duty.phase = phase;
-        held.duty.holders = self.group.holders(self.node.now());
-        let before = Row {
-            key: Duty::key(&self.group.name),
-            value: Arc::from(""),
-            version: held.version,
-        };
-        let (condition, write) = held.duty.replace(&self.group.name, Some(&before));
-        let commit = self.node.parts.table.commit(vec![condition], vec![write]);
-        match timeout(TABLE_TIMEOUT, commit).await {
-            Ok(Ok(Outcome::Committed { version })) => {
-                held.version = version;
-                true
-            }
-            failed => {
-                log::info!(
-                    "event=duty-unwritten group={} why=\"{failed:?}\"",
-                    self.group.name
-                );
-                false
-            }
-        }
-    }
-}
-
-/// A duty that this instance holds.
-struct Held {
-    duty: Duty,
-    /// The version of the row.
-    version: u64,
-}
-
-/// Runs an order on a connection of its own, as the pool's may be stuck.
-async fn command(
-    node: &Node,
-    group: &Group,
-    server: &Arc<str>,
-    entry: &settings::Server,
-    statement: &Statement,
-) -> Result<Option<Status>, crate::Error> {
-    let Some(account) = node.revision().accounts.keys().next().cloned() else {
-        return Ok(None);
-    };
-    let target = Target {
-        group: Arc::clone(&group.name),
-        server: Arc::clone(server),
-        address: entry.address,
-        account,
-    };
-    let run = async {
-        let mut connection = node.parts.connector.open(&target).await?;
-        let request = Request::own(statement.clone());
-        connection.send(std::slice::from_ref(&request)).await?;
-        let reply = connection.receive().await?;
-        let status = connection.status(&reply);
-        if status.is_none() {
-            log::info!(
-                "event=control-refused group={} server={server} statement=\"{statement:?}\" answer=\"{:?}\"",
-                group.name,
-                reply.outcome
-            );
-        }
-        Ok(status)
-    };
-    let ran = timeout(CONTROL_TIMEOUT, run).await.unwrap_or_else(|_| {
-        Err(crate::Error::Silent {
-            step: "give an order",
-            peer: server.to_string(),
-        })
-    });
-    if let Err(error) = &ran {
-        log::info!(
-            "event=control-failed group={} server={server} why=\"{error}\"",
-            group.name
-        );
-    }
-    ran
 }
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -277,7 +277,7 @@
     /// Takes note of a commit that the leader acknowledged.
     pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
         self.on_proof(sent, server, position);
-        lock(&self.lead).on_acknowledged(position);
+        lock(&self.lead).on_acknowledged(sent, position);
         // Whoever acknowledged it has every earlier commit too.
         lock(&self.vanished).retain(|_, server| server.left.is_none_or(|left| sent <= left));
     }
--- a/crates/relay/src/group/lead.rs
+++ b/crates/relay/src/group/lead.rs
@@ -39,6 +39,8 @@
     samples: VecDeque<Sample>,
     /// The highest position of a commit that was acknowledged here.
     acknowledged: Position,
+    /// When the latest acknowledged commit was sent.
+    committed: Time,
     /// When the leader was last proven to lead, by the time of the request.
     proven: Time,
 }
@@ -94,8 +96,14 @@
         is_new
     }
 
-    /// Takes note of an acknowledged commit.
-    pub fn on_acknowledged(&mut self, position: Position) {
+    /// Returns when the latest acknowledged commit was sent.
+    pub fn committed(&self) -> Time {
+        self.committed
+    }
+
+    /// Takes note of an acknowledged commit that was sent at `sent`.
+    pub fn on_acknowledged(&mut self, sent: Time, position: Position) {
+        self.committed = self.committed.max(sent);
         self.acknowledged = self.acknowledged.max(position);
     }
 
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -7,6 +7,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// A commit younger than this shows that commits are not stuck; one that is stuck is older.
+const COMMIT_AGE_MS: u64 = 700;
+
 /// A datagram between two instances.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
@@ -55,4 +58,13 @@
     pub term: u64,
     /// The highest position of a commit that was acknowledged through it.
     pub acknowledged: Position,
+    /// Milliseconds since it sent the last commit that was acknowledged.
+    pub commit_age_ms: u64,
+}
+
+impl Opinion {
+    /// Returns whether a commit that the sender sent lately was acknowledged.
+    pub fn has_committed_lately(&self) -> bool {
+        self.leader.is_some() && self.commit_age_ms < COMMIT_AGE_MS
+    }
 }
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -191,5 +191,6 @@
         leader: lead.server().filter(|_| is_recent).cloned(),
         term: lead.term(),
         acknowledged: lead.acknowledged(),
+        commit_age_ms: node.now().since(lead.committed()).as_millis(),
     }
 }
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -105,7 +105,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_primary_that_cannot_commit_is_replaced() {
+async fn a_primary_whose_commits_do_not_end_is_replaced() {
     let world = World::open();
     let instance = world.start("i1").await;
     let mut client = instance.connect("orders").await;
@@ -142,3 +142,33 @@
         );
     }
 }
+
+#[tokio::test]
+async fn a_lost_answer_at_one_instance_replaces_nobody_while_another_commits() {
+    let world = World::open();
+    let first = world.start("i1").await;
+    let second = world.start("i2").await;
+    let mut one = first.connect("orders").await;
+    let mut two = second.connect("orders").await;
+    one.write("x", "1").await.expect("a write");
+    // The instances know of each other once each has read the other's lease.
+    sleep(Duration::from_secs(2)).await;
+    world.group.lose_answer();
+    let lost = async {
+        let failure = one.write("y", "1").await.expect_err("no answer");
+        assert_eq!(failure.code, Code::InDoubt);
+    };
+    let others = async {
+        for _ in 0..60 {
+            sleep(Duration::from_millis(50)).await;
+            two.write("z", "1").await.expect("commits go on");
+        }
+    };
+    tokio::join!(lost, others);
+    assert_eq!(world.group.leader().as_deref(), Some("a"));
+    assert!(
+        world.group.orders().is_empty(),
+        "{:?}",
+        world.group.orders()
+    );
+}
