--- a/crates/relay/src/pool/lane.rs
+++ b/crates/relay/src/pool/lane.rs
@@ -150,6 +150,19 @@
         self.connection.status(reply)
     }
 
+    /// Notes that the transaction on the connection rests, so that others get its turn.
+    pub fn rest(&mut self) {
+        self.place.set_idle();
+        self.place.pool().dispatch();
+    }
+
+    /// Notes that the transaction on the connection goes on; it does not wait for a turn, since it
+    /// may hold what others wait for.
+    pub fn go_on(&mut self) {
+        let account = Arc::clone(&self.account);
+        self.place.set_busy(&account);
+    }
+
     /// Gives the connection back for other sessions, unless it is in the middle of something.
     pub fn release(mut self) {
         self.rested = self.place.pool().clock.now();
--- a/crates/relay/src/pool/place.rs
+++ b/crates/relay/src/pool/place.rs
@@ -25,6 +25,13 @@
         self.busy_for = Some(Arc::clone(account));
     }
 
+    /// Notes that the connection is in use for an account.
+    pub(super) fn set_busy(&mut self, account: &Arc<str>) {
+        self.set_idle();
+        self.pool.on_busy(account);
+        self.mark_busy(account);
+    }
+
     /// Notes that the connection is not in use.
     pub(super) fn set_idle(&mut self) {
         if let Some(account) = self.busy_for.take() {
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -326,6 +326,11 @@
         self.dispatch();
     }
 
+    /// Counts a connection in use for an account.
+    pub(super) fn on_busy(&self, account: &Arc<str>) {
+        lock(&self.inner).on_busy(account);
+    }
+
     /// Counts a connection that is not in use for an account any more.
     pub(super) fn on_free(&self, account: &Arc<str>) {
         lock(&self.inner).on_free(account);
@@ -338,7 +343,7 @@
     }
 
     /// Gives turns to requests that wait.
-    fn dispatch(self: &Arc<Self>) {
+    pub(super) fn dispatch(self: &Arc<Self>) {
         while let Some((waiter, grant)) = self.next_turn() {
             match waiter.sender.send(grant) {
                 Ok(()) => {}
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use clock::Span;
 use clock::Time;
 use endpoint::Position;
 use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::border::Caller;
 use crate::message::Access;
@@ -101,9 +103,14 @@
             {
                 return;
             }
+            let idle = self.time_to_idle();
             let message = tokio::select! {
                 message = caller.receive() => message,
                 () = leaving, if self.transaction.is_none() => continue,
+                () = sleep(idle.unwrap_or_default()), if idle.is_some() => {
+                    self.end_idle_transaction();
+                    continue;
+                }
             };
             let reply = match message {
                 None | Some(Message::Quit | Message::Start { .. }) => return,
@@ -158,7 +165,6 @@
     }
 
     async fn dispatch(&mut self, id: &Arc<str>, statement: Statement, arrived: Time) -> Reply {
-        self.end_idle_transaction(arrived);
         let state = self.state();
         if state == State::Failed && !matches!(statement, Statement::Rollback | Statement::Commit) {
             let failure = Failure::new(Code::Malformed, "the transaction failed; roll it back");
@@ -342,13 +348,21 @@
         Ok(route)
     }
 
-    /// Ends a transaction that rested for longer than the settings allow.
-    fn end_idle_transaction(&mut self, now: Time) {
+    /// Returns how long the open transaction may still rest; `None` if it may for ever.
+    fn time_to_idle(&self) -> Option<Duration> {
         let idle = self.node.revision().transaction_idle;
-        let Some(transaction) = &mut self.transaction else {
-            return;
-        };
-        if !transaction.is_failed && idle.as_micros() > 0 && now >= self.rested + idle {
+        let is_open = self
+            .transaction
+            .as_ref()
+            .is_some_and(|open| !open.is_failed);
+        let until = self.rested + idle;
+        (is_open && idle > Span::ZERO).then(|| until.since(self.node.now()).into())
+    }
+
+    /// Ends a transaction that rested for longer than the settings allow.
+    fn end_idle_transaction(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            log::debug!("event=transaction-idle account={}", self.account);
             transaction.end();
         }
     }
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -77,9 +77,14 @@
             self.is_failed = true;
             return Reply::failed(failure, State::Failed);
         }
+        if let Some(lane) = self.lane.as_mut() {
+            lane.go_on();
+        }
         let reply = self.exchange(job).await;
         if reply.outcome.is_err() {
             self.fail();
+        } else if let Some(lane) = self.lane.as_mut() {
+            lane.rest();
         }
         reply
     }
@@ -95,6 +100,7 @@
             return Reply::failed(aborted("the connection is gone"), State::Idle);
         };
         let sent = job.node.now();
+        lane.go_on();
         let request = job.request(&lane, None);
         let exchanged = lane.commit(request, job.deadline).await;
         let server = Arc::clone(lane.server());
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -210,3 +210,22 @@
     assert!(waited > Duration::ZERO, "nobody as urgent waited before it");
     assert!(!waiting.await.expect("no panic"));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_resting_transaction_gives_its_turn_to_others() {
+    let pool = open(2);
+    pool.set_limits(2, 1);
+    let mut transaction = pool.acquire(&account("x"), 1, soon()).await.expect("room");
+    assert!(pool.acquire(&account("y"), 1, soon()).await.is_err());
+    transaction.rest();
+    let other = pool.acquire(&account("y"), 1, soon()).await;
+    assert!(other.is_ok(), "the transaction rests");
+    transaction.go_on();
+    drop(other);
+    assert!(
+        pool.acquire(&account("y"), 1, soon()).await.is_err(),
+        "it goes on"
+    );
+    transaction.release();
+    assert!(pool.acquire(&account("y"), 1, soon()).await.is_ok());
+}
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -322,3 +322,27 @@
         "it said that it leaves, and the instance learned it"
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_transaction_gives_its_connection_back_by_itself() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut clients = Vec::new();
+    for _ in 0..40 {
+        let mut client = instance.connect("orders").await;
+        client
+            .run(Statement::Begin {
+                is_read_only: false,
+            })
+            .await;
+        // More transactions than connections: the later ones can't begin at the server.
+        client.write("x", "1").await.ok();
+        clients.push(client);
+    }
+    sleep(Duration::from_secs(4)).await;
+    let mut other = instance.connect("orders").await;
+    other
+        .write("y", "1")
+        .await
+        .expect("the connections are back");
+}
