--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -35,7 +35,7 @@
         promise: Span::from_secs(9),
         loan: Span::from_millis(150),
         activation: Span::from_millis(200),
-        max_wait: Span::from_millis(100),
+        max_wait: Span::from_millis(40),
         window: Span::from_millis(50),
         empty: Span::from_millis(200),
         empty_doublings: 3,
