Give no order for the primary that is handed over

The platform accepts such an order at once and carries it out 600 ms later: the demoted server led again for some 20 ms, took a commit, and was then replaced. The in-memory group now carries orders out later, as the platform does, and counts acknowledged records that a new leader lacks; its test failed before the change. Also: an order that may still be pending is noted in the duty row, and only then is a later one given for a primary that is back.

--- a/crates/relay/src/failover/held.rs
+++ b/crates/relay/src/failover/held.rs
@@ -21,9 +21,16 @@
     pub duty: Duty,
     /// The version of the row.
     version: u64,
+    /// Whether the last holder ended without writing that it was done.
+    is_inherited: bool,
 }
 
 impl Held {
+    /// Returns whether an order of an earlier holder may still be carried out.
+    pub fn may_have_ordered(&self) -> bool {
+        self.is_inherited
+    }
+
     /// Takes a group's duty; `None` if another instance has it or the table does not answer.
     pub async fn take(node: &Node, group: &Group) -> Option<Self> {
         let key = Duty::key(&group.name);
@@ -40,6 +47,9 @@
             // Servers that the last holder knew may have vanished before this instance started.
             group.remember(&before.holders);
         }
+        let is_inherited = before
+            .as_ref()
+            .is_some_and(|duty| duty.phase == Phase::Working);
         // Tokens are far below the store's versions, so one of these follows any lost token.
         let unreadable = row.as_ref().map_or(0, |row| row.version);
         let duty = Duty {
@@ -52,7 +62,11 @@
         let (condition, write) = duty.replace(&group.name, row.as_ref());
         let commit = node.parts.table.commit(vec![condition], vec![write]);
         match timeout(TABLE_TIMEOUT, commit).await {
-            Ok(Ok(Outcome::Committed { version })) => Some(Self { duty, version }),
+            Ok(Ok(Outcome::Committed { version })) => Some(Self {
+                duty,
+                version,
+                is_inherited,
+            }),
             Ok(Ok(Outcome::Conflict { .. })) => None,
             failed => {
                 log::info!(
@@ -64,6 +78,7 @@
                 is_ours.then_some(Self {
                     duty,
                     version: row.version,
+                    is_inherited,
                 })
             }
         }
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,6 +1,7 @@
 //! The replacement of a group's primary, step by step.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -37,6 +38,9 @@
 const OPINION_WAIT: Duration = Duration::from_millis(80);
 /// Longest wait for the answer to a promotion.
 const PROMOTE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// An order is carried out within this time, in most cases: the platform says some hundred
+/// milliseconds.
+const ORDER_DELAY: Duration = Duration::from_millis(1_000);
 /// Pause between two tries of a step.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// How often a step is tried before the duty is given up; a new try takes a new token.
@@ -60,6 +64,8 @@
     reason: Reason,
     /// The primary as it was known when the try began.
     old: Option<Arc<Server>>,
+    /// Whether an order was given.
+    has_ordered: AtomicBool,
     /// The newest term that any server has reported; orders need a later one.
     term: AtomicU64,
 }
@@ -72,6 +78,7 @@
             group,
             reason,
             old: group.leader(),
+            has_ordered: AtomicBool::new(false),
             term: AtomicU64::new(lock(&group.lead).term()),
         }
     }
@@ -147,7 +154,14 @@
         if let Some(leader) = &promoted {
             self.resume(leader).await;
         }
-        held.write(self.node, self.group, Phase::Done).await;
+        // A try that gave up may have left an order behind; the next one must know.
+        let is_settled = promoted.is_some() || !self.has_ordered.load(Ordering::Relaxed);
+        let phase = if is_settled {
+            Phase::Done
+        } else {
+            Phase::Working
+        };
+        held.write(self.node, self.group, phase).await;
     }
 
     /// Returns whether the group's servers are known well enough to replace a primary.
@@ -163,13 +177,6 @@
 
     /// Replaces the primary under a held duty; returns the new one.
     async fn replace(&self, held: &mut Held, acknowledged: Position) -> Option<Arc<str>> {
-        if self.reason == Reason::Leaving
-            && let Some(old) = &self.old
-        {
-            // An order for the present primary changes nothing; it shows that orders can be given
-            // before the primary's log is ended.
-            self.order(held, &old.name, 3).await?;
-        }
         let mut survey = Survey {
             sync_replicas: lock(&self.group.settings).sync_replicas,
             acknowledged,
@@ -192,7 +199,7 @@
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
                         self.group.name
                     );
-                    self.order(held, &chosen, TRIES).await?;
+                    self.order(held, &chosen).await?;
                     self.confirm(&chosen).await;
                     self.announce(&chosen).await;
                     return Some(chosen);
@@ -219,8 +226,10 @@
 
     /// Returns the old primary if it leads again.
     ///
-    /// An order for it changes nothing, but makes sure that no earlier order is carried out later,
-    /// when the replicas may receive again.
+    /// Where an order of an earlier try may still be carried out, a later one for the primary that
+    /// leads changes nothing, but makes sure that the earlier one is rejected once the replicas may
+    /// receive again. Otherwise no order is given: it is carried out a little later, and would
+    /// bring the server back even if it was demoted meanwhile.
     async fn old_is_back(&self, held: &Held) -> Option<Arc<str>> {
         let old = self.old.as_ref()?;
         let asked = self.node.now();
@@ -228,7 +237,11 @@
         if lock(&self.group.lead).proven() < asked {
             return None;
         }
-        self.order(held, &old.name, TRIES).await?;
+        if held.may_have_ordered() {
+            self.order(held, &old.name).await?;
+            // Nobody takes the duty before the order has been carried out.
+            sleep(ORDER_DELAY).await;
+        }
         Some(Arc::clone(&old.name))
     }
 
@@ -331,14 +344,15 @@
     }
 
     /// Gives the order until it is carried out for certain.
-    async fn order(&self, held: &Held, server: &Arc<str>, tries: u32) -> Option<()> {
+    async fn order(&self, held: &Held, server: &Arc<str>) -> Option<()> {
         let order = Order {
             group: Arc::clone(&self.group.name),
             server: Arc::clone(server),
             holder: Arc::clone(&self.node.options.name),
             token: held.duty.token,
         };
-        for _ in 0..tries {
+        self.has_ordered.store(true, Ordering::Relaxed);
+        for _ in 0..TRIES {
             let given = timeout(PROMOTE_TIMEOUT, self.node.parts.promoter.promote(&order)).await;
             log::info!(
                 "event=order group={} server={server} token={} answer=\"{given:?}\"",
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -44,6 +44,7 @@
     assert_eq!(world.group.leader().as_deref(), Some("c"));
     assert!(gap < GAP, "the gap was {gap:?}");
     assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
 
 #[tokio::test(start_paused = true)]
@@ -58,6 +59,7 @@
     world.group.silence("a", false);
     sleep(Duration::from_secs(6)).await;
     assert!(world.group.paused().is_empty());
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
 
 #[tokio::test(start_paused = true)]
@@ -77,6 +79,7 @@
         "{:?}",
         world.group.orders()
     );
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
 
 #[tokio::test(start_paused = true)]
@@ -95,13 +98,14 @@
     }
     assert_ne!(world.group.leader().as_deref(), Some("a"));
     assert_eq!(world.group.writes("y"), writes);
-    let tokens: Vec<u64> = world
-        .group
-        .orders()
-        .iter()
-        .map(|order| order.token)
-        .collect();
+    let orders = world.group.orders();
+    assert!(
+        orders.iter().all(|order| &*order.server != "a"),
+        "an order for the present primary may be carried out after it was demoted: {orders:?}"
+    );
+    let tokens: Vec<u64> = orders.iter().map(|order| order.token).collect();
     assert!(tokens.is_sorted(), "{tokens:?}");
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
 
 #[tokio::test(start_paused = true)]
@@ -115,6 +119,7 @@
     assert_eq!(failure.code, Code::InDoubt);
     write_on(&mut client, "z").await;
     assert_eq!(world.group.writes("y"), 1, "the write was not sent again");
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
 
 #[tokio::test]
@@ -141,6 +146,7 @@
             "{orders:?}"
         );
     }
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
 
 #[tokio::test]
@@ -171,4 +177,5 @@
         "{:?}",
         world.group.orders()
     );
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::Weak;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -86,21 +87,29 @@
     /// The highest fencing token of an order.
     token: u64,
     orders: Vec<Order>,
+    /// Records that were acknowledged.
+    acknowledged: Vec<(Position, String, String)>,
+    /// Acknowledged records that a new leader did not have.
+    lost: usize,
     runs: Vec<Run>,
     /// Loses the answer to the next statement of a caller after it ran.
     loses_answer: bool,
 }
 
 /// A group of three servers.
-#[derive(Default)]
 pub struct Group {
     inner: Mutex<Inner>,
+    /// For what happens later.
+    this: Weak<Self>,
 }
 
 impl Group {
     /// Opens a group that `a` leads.
     pub fn open() -> Arc<Self> {
-        let group = Self::default();
+        let group = Arc::new_cyclic(|this| Self {
+            inner: Mutex::default(),
+            this: Weak::clone(this),
+        });
         {
             let mut inner = group.lock();
             inner.term = 1;
@@ -109,7 +118,7 @@
                 inner.servers.insert(Arc::from(name), Server::default());
             }
         }
-        Arc::new(group)
+        group
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -172,6 +181,11 @@
         log.iter().filter(|(_, key, _)| key == item).count()
     }
 
+    /// Returns how many acknowledged records a new leader did not have.
+    pub fn lost(&self) -> usize {
+        self.lock().lost
+    }
+
     /// Returns which servers are paused.
     pub fn paused(&self) -> Vec<Arc<str>> {
         let inner = self.lock();
@@ -195,6 +209,7 @@
         }
         head.applied = head.log.len();
         let log = head.log.clone();
+        let committed = log[log.len() - writes.len()..].to_vec();
         let mut holders = 0;
         for (name, server) in &mut self.servers {
             let receives = !server.is_down && !server.is_deaf && server.paused == 0;
@@ -207,6 +222,9 @@
                 server.applied = server.log.len();
             }
         }
+        if holders > 0 {
+            self.acknowledged.extend(committed);
+        }
         holders > 0
     }
 
@@ -489,23 +507,39 @@
                 return Ok(Verdict::Rejected);
             }
             inner.token = order.token;
-            if inner.leader.as_ref() == Some(&order.server) {
-                return Ok(Verdict::Done);
-            }
         }
-        tokio::time::sleep(PROMOTION).await;
+        // The order is accepted now and carried out a little later, also for a server that led
+        // when the order came and does not any more.
+        let group = self.this.upgrade().expect("the group is in use");
+        let server = Arc::clone(&order.server);
+        tokio::spawn(async move {
+            tokio::time::sleep(PROMOTION).await;
+            group.lead(&server);
+        });
+        Ok(Verdict::Done)
+    }
+}
+
+impl Group {
+    /// Makes a server the leader with what it has received.
+    fn lead(&self, chosen: &Arc<str>) {
         let mut inner = self.lock();
+        if inner.leader.as_ref() == Some(chosen) {
+            return;
+        }
         inner.term += 1;
-        inner.leader = Some(Arc::clone(&order.server));
-        let head = inner.servers.get_mut(&order.server).expect("a server");
+        inner.leader = Some(Arc::clone(chosen));
+        let head = inner.servers.get_mut(chosen).expect("a server");
         head.paused = 0;
         head.applied = head.log.len();
         let log = head.log.clone();
+        let missing = inner.acknowledged.iter();
+        let missing = missing.filter(|record| !log.contains(record)).count();
+        inner.lost += missing;
         for server in inner.servers.values_mut() {
             let common = server.log.len().min(log.len());
             server.log.truncate(common);
             server.applied = server.applied.min(common);
         }
-        Ok(Verdict::Done)
     }
 }
