--- a/crates/relay/src/pool/mod.rs
+++ b/crates/relay/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to servers, shared by the sessions of an instance.
 
 mod lane;
+mod line;
 mod patience;
 mod place;
 mod pool;
