--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -37,7 +37,7 @@
 use super::caller::Front;
 use super::group::GROUP;
 use super::group::Group;
-use super::group::Links;
+use super::link::Links;
 
 /// The key of the account `shop`.
 pub const KEY: &str = "k1";
--- /dev/null
+++ b/crates/relay/tests/relay/world/link.rs
@@ -0,0 +1,285 @@
+//! Connections to the servers of an in-memory group.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use endpoint::Position;
+use endpoint::Role;
+use relay::Error;
+use relay::border::Connection;
+use relay::border::Connector;
+use relay::border::Status;
+use relay::border::Target;
+use relay::message::Code;
+use relay::message::Failure;
+use relay::message::Reply;
+use relay::message::Request;
+use relay::message::Shape;
+use relay::message::State;
+use relay::message::Statement;
+
+use super::group::Group;
+use super::group::Inner;
+use super::group::Run;
+
+/// How long a statement takes.
+const WORK: Duration = Duration::from_millis(5);
+
+/// One connection to one server.
+struct Link {
+    group: Arc<Group>,
+    server: Arc<str>,
+    account: Arc<str>,
+    values: BTreeMap<Arc<str>, Arc<str>>,
+    prepared: BTreeMap<Arc<str>, Shape>,
+    state: State,
+    /// The open transaction may write.
+    may_write: bool,
+    writes: Vec<(String, String)>,
+    replies: std::collections::VecDeque<Option<Reply>>,
+}
+
+impl Link {
+    fn broken(&self) -> Error {
+        Error::Broken {
+            step: "run",
+            peer: self.server.to_string(),
+            why: "down".to_owned(),
+        }
+    }
+
+    fn run(&mut self, request: &Request) -> Option<Reply> {
+        let group = Arc::clone(&self.group);
+        let mut inner = group.lock();
+        let is_leader = inner.leader.as_ref() == Some(&self.server);
+        let mut rows = Vec::new();
+        let mut outcome: Result<(), Code> = Ok(());
+        let shape = match &request.statement {
+            Statement::Execute { name, .. } => self.prepared.get(name).cloned(),
+            _ => None,
+        };
+        let server = &inner.servers[&self.server];
+        if request.floor.is_some_and(|floor| server.applied() < floor) {
+            outcome = Err(Code::Behind);
+        } else if self.state == State::Open && self.may_write && !is_leader {
+            outcome = Err(Code::ReadOnly);
+        }
+        if outcome.is_ok() {
+            outcome = self.execute(&mut inner, request, shape.as_ref(), is_leader, &mut rows);
+        }
+        if let Some(id) = &request.id {
+            inner.runs.push(Run {
+                server: Arc::clone(&self.server),
+                account: Arc::clone(&self.account),
+                id: Arc::clone(id),
+                values: self.values.clone(),
+                shape,
+            });
+            if std::mem::take(&mut inner.loses_answer) {
+                return None;
+            }
+        }
+        if outcome.is_err() && self.state == State::Open {
+            self.state = State::Failed;
+        }
+        let text = &self.server;
+        Some(Reply {
+            rows,
+            outcome: match outcome {
+                Ok(()) => Ok(Some(Arc::from(format!("signed-{text}")))),
+                Err(code) => Err(Failure::new(code, text)),
+            },
+            state: self.state,
+            position: Some(inner.servers[&self.server].applied()),
+        })
+    }
+
+    fn execute(
+        &mut self,
+        inner: &mut Inner,
+        request: &Request,
+        shape: Option<&Shape>,
+        is_leader: bool,
+        rows: &mut Vec<Arc<str>>,
+    ) -> Result<(), Code> {
+        let (is_write, arguments) = match &request.statement {
+            Statement::Read { item } => (false, item),
+            Statement::Write { arguments } => (true, arguments),
+            Statement::Execute { arguments, .. } => {
+                let shape = shape.ok_or(Code::UnknownStatement)?;
+                (shape.access == relay::message::Access::Write, arguments)
+            }
+            _ => return self.control(inner, request, is_leader, rows),
+        };
+        if !is_write {
+            rows.push(Arc::from(inner.servers[&self.server].value(arguments)));
+            return Ok(());
+        }
+        if !is_leader {
+            return Err(Code::ReadOnly);
+        }
+        let (item, data) = arguments.split_once(' ').unwrap_or((arguments, ""));
+        self.writes.push((item.to_owned(), data.to_owned()));
+        if self.state == State::Idle {
+            return self.end(inner);
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, inner: &mut Inner) -> Result<(), Code> {
+        self.state = State::Idle;
+        let writes = std::mem::take(&mut self.writes);
+        if writes.is_empty() || inner.commit(&writes) {
+            return Ok(());
+        }
+        Err(Code::Timeout)
+    }
+
+    fn control(
+        &mut self,
+        inner: &mut Inner,
+        request: &Request,
+        is_leader: bool,
+        rows: &mut Vec<Arc<str>>,
+    ) -> Result<(), Code> {
+        let server = inner.servers.get_mut(&self.server).expect("a server");
+        match &request.statement {
+            Statement::Begin { is_read_only } => {
+                if !is_read_only && !is_leader {
+                    return Err(Code::ReadOnly);
+                }
+                self.state = State::Open;
+                self.may_write = !is_read_only;
+            }
+            Statement::Commit => return self.end(inner),
+            Statement::Rollback => {
+                self.state = State::Idle;
+                self.writes.clear();
+            }
+            Statement::Set { name, value } => {
+                self.values.insert(Arc::clone(name), Arc::clone(value));
+            }
+            Statement::Prepare { name, shape } => {
+                self.prepared.insert(Arc::clone(name), shape.clone());
+            }
+            Statement::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+            }
+            Statement::Pause { term } => server.paused = *term,
+            Statement::Resume => {
+                server.paused = 0;
+                server.applied = server.log.len();
+            }
+            Statement::Demote { .. } if is_leader => inner.leader = None,
+            _ => {}
+        }
+        let is_order = matches!(
+            request.statement,
+            Statement::Status
+                | Statement::Pause { .. }
+                | Statement::Resume
+                | Statement::Demote { .. }
+        );
+        if is_order {
+            rows.push(Arc::from(inner.status(&self.server)));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        let name = Arc::clone(&self.server);
+        self.group.change(&name, |server| server.connections -= 1);
+    }
+}
+
+#[async_trait]
+impl Connection for Link {
+    async fn send(&mut self, requests: &[Request]) -> Result<(), Error> {
+        for request in requests {
+            if self.group.lock().servers[&self.server].is_down {
+                return Err(self.broken());
+            }
+            if !self.group.lock().servers[&self.server].is_silent {
+                let reply = self.run(request);
+                self.replies.push_back(reply);
+            }
+        }
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<Reply, Error> {
+        tokio::time::sleep(WORK).await;
+        if self.group.lock().servers[&self.server].is_down {
+            return Err(self.broken());
+        }
+        match self.replies.pop_front() {
+            Some(Some(reply)) => Ok(reply),
+            // The server is silent, or its answer was lost.
+            _ => std::future::pending().await,
+        }
+    }
+
+    fn status(&self, reply: &Reply) -> Option<Status> {
+        let row = reply.rows.first()?;
+        let fields: Vec<&str> = row.split(' ').collect();
+        let (term, offset) = fields[2].split_once('.')?;
+        Some(Status {
+            role: match fields[0] {
+                "primary" => Role::Primary,
+                _ => Role::Replica,
+            },
+            term: fields[1].parse().ok()?,
+            received: Position {
+                term: term.parse().ok()?,
+                offset: offset.parse().ok()?,
+            },
+            paused: fields[3].parse().ok()?,
+        })
+    }
+
+    fn is_open(&mut self) -> bool {
+        !self.group.lock().servers[&self.server].is_down
+    }
+}
+
+/// Opens connections to the servers of a group.
+pub struct Links(pub Arc<Group>);
+
+#[async_trait]
+impl Connector for Links {
+    async fn open(&self, target: &Target) -> Result<Box<dyn Connection>, Error> {
+        tokio::time::sleep(WORK).await;
+        let server = Arc::clone(&target.server);
+        let (is_down, is_silent) = {
+            let inner = self.0.lock();
+            let state = &inner.servers[&server];
+            (state.is_down, state.is_silent)
+        };
+        if is_down {
+            return Err(Error::Absent {
+                step: "connect",
+                peer: server.to_string(),
+            });
+        }
+        if is_silent {
+            return std::future::pending().await;
+        }
+        self.0.change(&server, |server| server.connections += 1);
+        Ok(Box::new(Link {
+            group: Arc::clone(&self.0),
+            server,
+            account: Arc::clone(&target.account),
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            state: State::Idle,
+            may_write: false,
+            writes: Vec::new(),
+            replies: std::collections::VecDeque::new(),
+        }))
+    }
+}
--- a/crates/relay/tests/relay/world/mod.rs
+++ b/crates/relay/tests/relay/world/mod.rs
@@ -3,10 +3,11 @@
 mod caller;
 mod group;
 mod instance;
+mod link;
 
 pub use caller::Client;
 pub use group::Group;
-pub use group::Links;
 pub use instance::KEY;
 pub use instance::World;
 pub use instance::revision;
+pub use link::Links;
