--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -32,6 +32,9 @@
 const LOOK_EVERY: Duration = Duration::from_millis(200);
 /// The period of reports of the load to other instances.
 const REPORT_EVERY: Span = Span::from_secs(1);
+/// Longest wait for slices of the rates before callers are taken; callers wait two seconds for the
+/// start of their session.
+const FIRST_SLICES: Duration = Duration::from_millis(800);
 /// The period of the summary in the log.
 const SUMMARY_EVERY: Span = Span::from_secs(10);
 /// A stopping instance serves at least this long, until balancers have seen that it stops: they
@@ -83,8 +86,15 @@
 }
 
 async fn accept(node: Arc<Node>, listener: Box<dyn Listener>) {
-    // Until then no caller could be told whether its database and key are there.
+    // Until then no caller could be told whether its database and key are there, and every one
+    // would be above its account's rate.
     node.wait_for_settings().await;
+    if timeout(FIRST_SLICES, task::wait_for_slices(&node))
+        .await
+        .is_err()
+    {
+        log::warn!("event=accepting-without-slices");
+    }
     loop {
         match listener.accept().await {
             Ok(caller) => {
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -59,6 +59,13 @@
     }
 }
 
+/// Waits until this instance holds slices that it may use.
+pub async fn wait_for_slices(node: &Node) {
+    while lock(&node.ledger).schedule().slices(node.now()) == 0 {
+        tokio::time::sleep(STEP_EVERY).await;
+    }
+}
+
 /// Gives the slices back at a planned stop.
 pub async fn leave(node: &Arc<Node>) {
     lock(&node.ledger).leave(node.now());
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -13,6 +13,7 @@
 pub use ledger::leave as leave_ledger;
 pub use ledger::policy as rate_policy;
 pub use ledger::run as step_ledger;
+pub use ledger::wait_for_slices;
 pub use revisions::run as follow_revisions;
 pub use secret::run as learn_secret;
 pub use servers::Absences;
--- a/crates/relay/tests/relay/stops.rs
+++ b/crates/relay/tests/relay/stops.rs
@@ -51,3 +51,14 @@
     late.write("x", "1").await.expect("it is served");
     assert!(late.is_closed().await);
 }
+
+#[tokio::test(start_paused = true)]
+async fn callers_that_come_early_are_served_and_not_refused() {
+    let world = World::open();
+    let instance = world.start_at_once("i1");
+    let mut client = instance.connect("orders").await;
+    client
+        .write("x", "1")
+        .await
+        .expect("it waited for the start");
+}
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -217,6 +217,13 @@
 
     /// Starts an instance and waits until it serves.
     pub async fn start(&self, name: &str) -> Instance {
+        let instance = self.start_at_once(name);
+        instance.wait().await;
+        instance
+    }
+
+    /// Starts an instance.
+    pub fn start_at_once(&self, name: &str) -> Instance {
         let options = Options {
             name: Arc::from(name),
             zone: Arc::from("z"),
@@ -243,13 +250,11 @@
         };
         let run = relay::run(options, parts, Box::new(listener), "/ready", until);
         let task = tokio::spawn(run);
-        let instance = Instance {
+        Instance {
             front,
             stop: Some(stop),
             task,
-        };
-        instance.wait().await;
-        instance
+        }
     }
 }
 
