--- a/crates/relay/src/node/journal.rs
+++ b/crates/relay/src/node/journal.rs
@@ -42,7 +42,8 @@
         }
     }
 
-    fn admits(&self) -> bool {
+    /// Returns whether one more line may be written in this second.
+    pub fn admits(&self) -> bool {
         let now = self.clock.now();
         let mut window = lock(&self.window);
         if now >= window.start + Span::from_secs(1) {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay against an in-memory group of servers.
 
 mod duty;
+mod journal;
 mod lead;
 mod pool;
 mod replacement;
