--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -114,10 +114,7 @@
             life,
             zone: Arc::clone(&options.zone),
         };
-        let keys = KeyPolicy {
-            unsure: Unsure::Refuse,
-            grace: options.key_grace,
-        };
+        let keys = key_policy(&options);
         let ledger = Ledger::open(&options.name, life, options.peer, policy);
         let journal = Journal::open(Arc::clone(&parts.clock));
         Arc::new(Self {
@@ -358,10 +355,7 @@
                 (Arc::clone(name), keys)
             })
             .collect();
-        let policy = KeyPolicy {
-            unsure: Unsure::Refuse,
-            grace: self.options.key_grace,
-        };
+        let policy = key_policy(&self.options);
         lock(&self.keyring).on_settings(revision.number, policy, keys);
     }
 
@@ -389,6 +383,20 @@
     }
 }
 
+/// Returns what happens while it is not known whether keys are in force.
+fn key_policy(options: &Options) -> KeyPolicy {
+    match options.key_grace {
+        Some(grace) => KeyPolicy {
+            unsure: Unsure::Refuse,
+            grace,
+        },
+        None => KeyPolicy {
+            unsure: Unsure::Serve,
+            ..KeyPolicy::default()
+        },
+    }
+}
+
 /// Locks a mutex whose state stays sound even if a holder panicked.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -16,8 +16,9 @@
     pub peer: SocketAddr,
     /// Where it answers whether it is ready, and with its metrics.
     pub ready: SocketAddr,
-    /// How long keys count as known after the store last confirmed the settings.
-    pub key_grace: Span,
+    /// How long keys count as known after the store last confirmed the settings; `None` if callers
+    /// are served with the keys last known for as long as it takes.
+    pub key_grace: Option<Span>,
     /// How long a stopping process may still run.
     pub stop_limit: Span,
     /// When a caller whose statement was not run may come back.
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -346,3 +346,21 @@
         .await
         .expect("the connections are back");
 }
+
+#[tokio::test(start_paused = true)]
+async fn without_a_strict_bound_the_last_known_keys_serve_on() {
+    let world = World::open();
+    let instance = world.start_lenient("i1").await;
+    let mut client = instance.connect("orders").await;
+    world.revisions.set_down(true);
+    let mut writes = 0;
+    for _ in 0..100 {
+        sleep(Duration::from_millis(100)).await;
+        client
+            .write("x", "1")
+            .await
+            .expect("the key is the last known");
+        writes += 1;
+    }
+    assert_eq!(world.group.writes("x"), writes);
+}
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -222,14 +222,25 @@
         instance
     }
 
+    /// Starts an instance that trusts keys while the store is away, and waits until it serves.
+    pub async fn start_lenient(&self, name: &str) -> Instance {
+        let instance = self.start_with(name, None);
+        instance.wait().await;
+        instance
+    }
+
     /// Starts an instance.
     pub fn start_at_once(&self, name: &str) -> Instance {
+        self.start_with(name, Some(Span::from_secs(3)))
+    }
+
+    fn start_with(&self, name: &str, key_grace: Option<Span>) -> Instance {
         let options = Options {
             name: Arc::from(name),
             zone: Arc::from("z"),
             peer: free_udp(),
             ready: SocketAddr::from(([127, 0, 0, 1], 0)),
-            key_grace: Span::from_secs(3),
+            key_grace,
             stop_limit: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
