--- a/crates/relay/src/session/context.rs
+++ b/crates/relay/src/session/context.rs
@@ -10,6 +10,7 @@
 
 use crate::Error;
 use crate::group::Group;
+use crate::message::Access;
 use crate::message::Failure;
 use crate::message::Reply;
 use crate::message::Request;
@@ -90,6 +91,16 @@
         Ok(rest)
     }
 
+    /// Returns whether the statement writes.
+    pub fn is_write(&self) -> bool {
+        match self.statement {
+            Statement::Write { .. } => true,
+            _ => self
+                .shape
+                .is_some_and(|shape| shape.access == Access::Write),
+        }
+    }
+
     /// Returns how long the statement waits for its turn at a server.
     pub fn patience(&self) -> Patience {
         Patience::of_target(self.route.target, self.deadline)
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -12,7 +12,6 @@
 use tokio::time::sleep;
 
 use crate::border::Caller;
-use crate::message::Access;
 use crate::message::Code;
 use crate::message::Failure;
 use crate::message::Message;
@@ -244,12 +243,12 @@
         }
         let group = Arc::clone(&transaction.group);
         let route = Arc::clone(&transaction.route);
-        let is_read_only = transaction.is_read_only;
+        let has_written = transaction.has_written;
         let reply = {
             let job = self.job(id, &Statement::Commit, None, &route, &group, arrived);
             transaction.commit(&job).await
         };
-        if reply.outcome.is_ok() && !is_read_only {
+        if reply.outcome.is_ok() && has_written {
             self.seen = self.seen.max(reply.position);
         }
         reply
@@ -281,14 +280,14 @@
         let Some(group) = self.node.group(&route.group) else {
             return Reply::failed(self.node.unknown_database(), State::Idle);
         };
-        let is_write = writes(statement, shape.as_ref());
-        let reply = {
+        let (is_write, reply) = {
             let job = self.job(id, statement, shape.as_ref(), &route, &group, arrived);
-            if is_write {
+            let reply = if job.is_write() {
                 write::run(&job).await
             } else {
                 read::run(&job).await
-            }
+            };
+            (job.is_write(), reply)
         };
         if is_write && reply.outcome.is_ok() {
             self.seen = self.seen.max(reply.position);
@@ -375,13 +374,6 @@
     }
 }
 
-fn writes(statement: &Statement, shape: Option<&Shape>) -> bool {
-    match statement {
-        Statement::Write { .. } => true,
-        _ => shape.is_some_and(|shape| shape.access == Access::Write),
-    }
-}
-
 fn too_many(what: &str) -> Failure {
     let text = format!("a session holds at most {NAMES_MAX} {what}");
     Failure::new(Code::Busy, &text)
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -43,6 +43,8 @@
     pub arrived: Time,
     /// The connection, once a statement has run.
     lane: Option<Lane>,
+    /// Whether a write of it has run.
+    pub has_written: bool,
     /// Whether it failed and can only be rolled back.
     pub is_failed: bool,
 }
@@ -56,6 +58,7 @@
             group,
             arrived,
             lane: None,
+            has_written: false,
             is_failed: false,
         }
     }
@@ -81,6 +84,7 @@
             lane.go_on();
         }
         let reply = self.exchange(job).await;
+        self.has_written |= reply.outcome.is_ok() && job.is_write();
         if reply.outcome.is_err() {
             self.fail();
         } else if let Some(lane) = self.lane.as_mut() {
@@ -106,7 +110,7 @@
         let server = Arc::clone(lane.server());
         let mut reply = match exchanged {
             Ok(reply) => reply,
-            Err(error) if self.is_read_only => {
+            Err(error) if !self.has_written => {
                 return Reply::failed(aborted(&error.to_string()), State::Idle);
             }
             Err(error) => {
@@ -118,7 +122,8 @@
             lane.release();
         }
         match (reply.code(), reply.position) {
-            (None, Some(position)) if !self.is_read_only => {
+            // A commit without writes succeeds also at a server that was replaced.
+            (None, Some(position)) if self.has_written => {
                 self.group.on_commit(sent, &server, position);
             }
             (Some(Code::ReadOnly), _) => self.group.on_deposed(&server),
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use relay::message::Code;
+use relay::message::Statement;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -179,3 +180,27 @@
     );
     assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_without_writes_proves_no_leader() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut reader = instance.connect("orders").await;
+    let mut writer = instance.connect("orders").await;
+    reader
+        .run(Statement::Begin {
+            is_read_only: false,
+        })
+        .await;
+    reader.read("x").await.expect("a read");
+    world.group.hand_over("b");
+    write_on(&mut writer, "y").await;
+    let committed = reader.run(Statement::Commit).await;
+    assert!(committed.outcome.is_ok(), "the former primary allows it");
+    let before = world.group.runs().len();
+    writer.write("z", "1").await.expect("a write");
+    let runs = world.group.runs().split_off(before);
+    let servers: Vec<&str> = runs.iter().map(|run| &*run.server).collect();
+    assert_eq!(servers, ["b"], "no write goes to the former primary");
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -253,6 +253,11 @@
 }
 
 impl Group {
+    /// Makes another server the leader, behind the instances' backs.
+    pub fn hand_over(&self, chosen: &str) {
+        self.lead(&Arc::from(chosen));
+    }
+
     /// Makes a server the leader with what it has received.
     fn lead(&self, chosen: &Arc<str>) {
         let mut inner = self.lock();
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -63,7 +63,11 @@
         let server = &inner.servers[&self.server];
         if request.floor.is_some_and(|floor| server.applied() < floor) {
             outcome = Err(Code::Behind);
-        } else if self.state == State::Open && self.may_write && !is_leader {
+        } else if self.state == State::Open
+            && self.may_write
+            && !is_leader
+            && !(request.statement == Statement::Commit && self.writes.is_empty())
+        {
             outcome = Err(Code::ReadOnly);
         }
         if outcome.is_ok() {
