Make one piece of what stood twice in the relay

The refusal of a statement that did not run (four places), the unanswered table call and its time-out (three), the wall clock (two), a connection's search in the line; the peers are set by the ledger's step alone.

--- a/crates/clock/src/boot.rs
+++ b/crates/clock/src/boot.rs
@@ -1,13 +1,11 @@
 //! A clock that also counts the time for which the machine was suspended.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 
 use crate::Clock;
 use crate::Time;
+use crate::wall::wall_ms;
 
 /// Microseconds in a second.
 const MICROS: u64 = 1_000_000;
@@ -30,9 +28,6 @@
     }
 
     fn wall_ms(&self) -> u64 {
-        let elapsed = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        wall_ms()
     }
 }
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -5,6 +5,7 @@
 mod manual;
 mod system;
 mod time;
+mod wall;
 
 pub use boot::Boot;
 pub use clock::Clock;
--- a/crates/clock/src/system.rs
+++ b/crates/clock/src/system.rs
@@ -1,13 +1,11 @@
 //! The clock of the machine.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use tokio::time::Instant;
 
 use crate::Clock;
 use crate::Span;
 use crate::Time;
+use crate::wall::wall_ms;
 
 /// The machine's clocks; its start is one second before `open` was called.
 #[derive(Clone, Copy, Debug)]
@@ -31,9 +29,6 @@
     }
 
     fn wall_ms(&self) -> u64 {
-        let elapsed = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        wall_ms()
     }
 }
--- a/crates/relay/src/message/reply.rs
+++ b/crates/relay/src/message/reply.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use clock::Span;
 use endpoint::Position;
 
 use crate::message::Code;
@@ -36,6 +37,13 @@
             text: Arc::from(text),
         }
     }
+
+    /// Describes a statement that did not run, and when its caller may come back.
+    pub fn not_run(why: &str, retry_after: Span) -> Self {
+        let wait = retry_after.as_millis();
+        let text = format!("{why}; not run, retry-after-ms={wait}");
+        Self::new(Code::Busy, &text)
+    }
 }
 
 /// The whole answer to one statement.
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -301,11 +301,8 @@
                 "the key is not in force any more",
             )),
             KeyDecision::Unsure => {
-                let wait = self.options.retry_after.as_millis();
-                let text = format!(
-                    "it is not known whether the key is in force; not run, retry-after-ms={wait}"
-                );
-                Err(Failure::new(Code::Busy, &text))
+                let why = "it is not known whether the key is in force";
+                Err(Failure::not_run(why, self.options.retry_after))
             }
         }
     }
@@ -324,10 +321,8 @@
             match decision {
                 Decision::Run => return Ok(()),
                 Decision::Refuse { retry_after } => {
-                    let wait = retry_after.as_millis();
-                    let text =
-                        format!("the account's rate is used up; not run, retry-after-ms={wait}");
-                    return Err(Failure::new(Code::Busy, &text));
+                    let why = "the account's rate is used up";
+                    return Err(Failure::not_run(why, retry_after));
                 }
                 Decision::Wait { until } => {
                     since = since.or(Some(now));
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -90,10 +90,7 @@
 
     /// Returns whether an unused connection for an account is there.
     pub fn has_idle(&self, account: &str) -> bool {
-        lock(&self.line)
-            .idle
-            .iter()
-            .any(|lane| *lane.account == *account)
+        lock(&self.line).idle_for(account).is_some()
     }
 
     /// Returns how many requests wait for a connection.
@@ -317,22 +314,12 @@
                 drop(vitals);
                 return Ok(Lane::new(connection, place, Arc::clone(account)));
             }
-            Ok(Err(Error::Refused {
-                step,
-                peer,
-                code,
-                text,
-            })) => {
+            Ok(Err(error @ Error::Refused { code, .. })) => {
                 vitals.on_reply(now, None);
                 if code == Code::TooManyConnections {
                     vitals.on_crowded(now);
                 }
-                return Err(Error::Refused {
-                    step,
-                    peer,
-                    code,
-                    text,
-                });
+                return Err(error);
             }
             Ok(Err(error)) => error,
             Err(_) => Error::Silent {
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -78,7 +78,7 @@
     let mut is_overloaded = false;
     loop {
         if job.is_late() {
-            return not_run(job, "no server could take the read in time");
+            return refused(job, "no server could take the read in time");
         }
         let (server, floor) = match place(job, &tried) {
             Place::Any(server, floor) => (server, Some(floor)),
@@ -88,7 +88,7 @@
                     return Reply::failed(failure, State::Idle);
                 }
                 if is_overloaded {
-                    return not_run(job, OVERLOADED);
+                    return refused(job, OVERLOADED);
                 }
                 tried.clear();
                 job.pause(RETRY_PAUSE).await;
@@ -222,12 +222,15 @@
         return None;
     }
     let why = "this instance does not reach the group's primary, others may";
-    not_run(job, why).outcome.err()
+    Some(not_run(job, why))
 }
 
 /// Returns the refusal of a statement that ran nowhere.
-pub fn not_run(job: &Job<'_>, why: &str) -> Reply {
-    let wait = job.node.options.retry_after.as_millis();
-    let text = format!("{why}; not run, retry-after-ms={wait}");
-    Reply::failed(Failure::new(Code::Busy, &text), State::Idle)
+pub fn not_run(job: &Job<'_>, why: &str) -> Failure {
+    Failure::not_run(why, job.node.options.retry_after)
+}
+
+/// Returns the answer that refuses a statement outside transactions which ran nowhere.
+pub fn refused(job: &Job<'_>, why: &str) -> Reply {
+    Reply::failed(not_run(job, why), State::Idle)
 }
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -201,8 +201,10 @@
         let may_use_replica = self.is_read_only && job.route.freshness != Freshness::Latest;
         loop {
             if job.is_late() {
-                let reply = read::not_run(job, "no server could begin the transaction in time");
-                return reply.outcome.map(|_| ());
+                return Err(read::not_run(
+                    job,
+                    "no server could begin the transaction in time",
+                ));
             }
             if let Some(failure) = read::nowhere(job, !may_use_replica) {
                 return Err(failure);
@@ -219,8 +221,7 @@
                 read::Place::Leader(server) => (server, None),
                 read::Place::Nowhere => {
                     if is_overloaded {
-                        let reply = read::not_run(job, read::OVERLOADED);
-                        return reply.outcome.map(|_| ());
+                        return Err(read::not_run(job, read::OVERLOADED));
                     }
                     tried.clear();
                     job.pause(RETRY_PAUSE).await;
@@ -234,8 +235,7 @@
                 }
                 Err(Refusal::Final(failure)) => return Err(failure),
                 Err(Refusal::Overloaded) if !may_use_replica => {
-                    let reply = read::not_run(job, read::OVERLOADED);
-                    return reply.outcome.map(|_| ());
+                    return Err(read::not_run(job, read::OVERLOADED));
                 }
                 Err(Refusal::Overloaded) => {
                     job.log_try(&server.name, &read::OVERLOADED);
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -11,8 +11,8 @@
 use crate::message::State;
 use crate::session::Job;
 use crate::session::read::OVERLOADED;
-use crate::session::read::not_run;
 use crate::session::read::nowhere;
+use crate::session::read::refused;
 
 /// Pause before a write that did not run is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
@@ -21,7 +21,7 @@
 pub async fn run(job: &Job<'_>) -> Reply {
     loop {
         if job.is_late() {
-            return not_run(job, "the group has no primary that can take the write");
+            return refused(job, "the group has no primary that can take the write");
         }
         if let Some(failure) = nowhere(job, true) {
             return Reply::failed(failure, State::Idle);
@@ -56,7 +56,7 @@
         .await
     {
         Ok(lane) => lane,
-        Err(Error::Overloaded { .. }) => return Attempt::Answer(not_run(job, OVERLOADED)),
+        Err(Error::Overloaded { .. }) => return Attempt::Answer(refused(job, OVERLOADED)),
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
     if let Err(trouble) = job.adapt(&mut lane, None).await {
--- a/crates/relay/src/task/lease.rs
+++ b/crates/relay/src/task/lease.rs
@@ -11,6 +11,8 @@
 
 use crate::node::Node;
 use crate::node::lock;
+use crate::task::call::CALL_TIMEOUT;
+use crate::task::call::unanswered;
 
 /// How long an instance counts as alive after it renewed its row; it renews four times as often.
 pub const LEASE: Span = Span::from_secs(12);
@@ -20,8 +22,6 @@
 const FIRST_LIST_EVERY: Span = Span::from_millis(500);
 /// Longest time between two looks at what is due.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
-/// A table call without an answer for this long counts as unanswered.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest wait for the table at a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Members are forgotten this long after their lease lapsed.
@@ -75,13 +75,7 @@
     let begun = node.now();
     let Renewal { conditions, writes } = lock(&node.keeper).renewal(revision);
     let commit = timeout(CALL_TIMEOUT, node.parts.table.commit(conditions, writes)).await;
-    let outcome = commit.unwrap_or_else(|_| {
-        Err(store::Error::Unknown {
-            step: "renew the lease",
-            peer: "table".to_owned(),
-            why: "no answer in time".to_owned(),
-        })
-    });
+    let outcome = commit.unwrap_or_else(|_| Err(unanswered("renew the lease")));
     lock(&node.keeper).on_outcome(begun, node.now(), &outcome, jitter);
 }
 
@@ -107,5 +101,4 @@
         }
     }
     node.share_connections();
-    lock(&node.ledger).on_peers(node.peer_addresses().into_keys().collect());
 }
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -8,19 +8,18 @@
 use account::rate::Policy;
 use clock::Span;
 use futures::future::BoxFuture;
-use store::Error;
 use tokio::time::timeout;
 
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Content;
+use crate::task::call::CALL_TIMEOUT;
+use crate::task::call::unanswered;
 
 /// Longest time between two steps; loans are asked for at once when a request waits.
 const STEP_EVERY: Duration = Duration::from_millis(50);
 /// Longest wait for a planned stop to give the slices back.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(400);
-/// A table call without an answer for this long counts as unanswered.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Returns the ledger's times for a table whose calls are priced, and for links between zones
 /// whose bytes are: fewer renewals and reads, leases that are longer to match, and few asks to
@@ -120,11 +119,3 @@
     let actions = lock(&node.ledger).on_read(node.now(), id, result);
     carry_out(node, actions).await;
 }
-
-fn unanswered(step: &'static str) -> Error {
-    Error::Unknown {
-        step,
-        peer: "table".to_owned(),
-        why: "no answer in time".to_owned(),
-    }
-}
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -1,5 +1,6 @@
 //! What an instance does besides serving callers.
 
+mod call;
 pub mod leader;
 mod lease;
 mod ledger;
--- a/crates/relay/src/task/secret.rs
+++ b/crates/relay/src/task/secret.rs
@@ -11,13 +11,12 @@
 use tokio::time::timeout;
 
 use crate::node::Node;
+use crate::task::call::CALL_TIMEOUT;
 
 /// The row that holds the secret.
 const KEY: &str = "fleet/secret";
 /// Bytes of the secret.
 const SECRET_BYTES: usize = 32;
-/// A table call without an answer for this long counts as unanswered.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(300);
 
