Follow settings and servers' entries with one follower

The two tasks had the same loop for outages, lost history and the log of both. The line store-regained now comes with the first rows after an outage for both.

--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -1,6 +1,7 @@
 //! What an instance does besides serving callers.
 
 mod call;
+mod follower;
 pub mod leader;
 mod lease;
 mod ledger;
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -7,20 +7,14 @@
 use clock::Span;
 use clock::Time;
 use store::Batch;
-use store::Followed;
-use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::node::Node;
 use crate::settings::Server;
+use crate::task::follower::Follower;
 
 /// How long the store holds a question for changes. A connection that has gone silent is noticed
 /// after it, which leaves over a second of the seven within which a leaving server is to be left.
 const WAIT: Duration = Duration::from_secs(5);
-/// Beyond the wait, how long an answer may take before the connection counts as dead.
-const PATIENCE: Duration = Duration::from_millis(700);
-/// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(150);
 /// A server whose entry vanished without its leaving serves on for this long if it answers: it may
 /// only be cut off from the store. It lies well below the seven seconds after which a server that
 /// is gone must get nothing more.
@@ -30,50 +24,16 @@
 
 /// Follows the entries until the process ends.
 pub async fn run(node: Arc<Node>) {
-    let mut version = None;
+    let mut follower = Follower::open(&node.parts.servers, "servers");
     let mut absences = Absences::default();
-    let mut is_lost = false;
     loop {
-        let step = match version {
-            None => timeout(PATIENCE, node.parts.servers.read())
-                .await
-                .map(|read| read.map(Followed::Batch)),
-            Some(after) => {
-                // After an outage the answer is wanted at once.
-                let wait = match absences.next_look(node.now()) {
-                    _ if is_lost => Duration::ZERO,
-                    Some(wait) => wait.min(WAIT),
-                    None => WAIT,
-                };
-                timeout(wait + PATIENCE, node.parts.servers.follow(after, wait)).await
-            }
-        };
-        match step {
-            Ok(Ok(Followed::HistoryLost)) => {
-                log::info!("event=history-lost what=servers");
-                version = None;
-            }
-            Ok(Ok(Followed::Batch(batch))) => {
-                if is_lost {
-                    log::info!("event=store-regained what=servers");
-                    absences.on_return(node.now());
-                    is_lost = false;
-                }
-                let is_whole = version.is_none();
-                version = Some(batch.version);
-                take(&node, &mut absences, batch, is_whole);
-            }
-            failed => {
-                let why = match failed {
-                    Ok(Err(error)) => error.to_string(),
-                    _ => "no answer in time".to_owned(),
-                };
-                if !is_lost {
-                    log::warn!("event=store-lost what=servers why=\"{why}\"");
-                }
-                is_lost = true;
-                sleep(PAUSE).await;
+        let look = absences.next_look(node.now());
+        let wait = look.map_or(WAIT, |look| look.min(WAIT));
+        if let Some(step) = follower.next(wait).await {
+            if step.is_return {
+                absences.on_return(node.now());
             }
+            take(&node, &mut absences, step.batch, step.is_whole);
         }
         for name in absences.expire(node.now()) {
             node.on_entry(&name, None);
