Record departed servers in the store, end replacements whose holder died

Cause: what an instance knew of departed servers ended with its process, so an instance that started later could promote a replica without an acknowledged commit; a replica that a dead holder left paused showed only once commits got stuck; after a suspension the keys were confirmed only at the end of a long poll that had begun before it. Ruled out: the duty row alone, which is written only while a primary is replaced; holders from the peers' opinions, which are gone when all restart. Change: the row departed/GROUP names departed servers with their entries, and no replacement begins before it was read; every instance reads the duty row 3.5 s after a replacement began and ends one whose holder stood still; a refusal for unknown keys asks the store anew; an instance's tasks end with it; a failed check of a key in a transaction gives its connection back at once. Tests first: replacement::an_instance_that_starts_later_counts_a_departed_replica (lost 1, now 0), a_replica_that_a_dead_holder_left_paused_is_resumed (stayed paused), sessions::a_suspended_instance_trusts_nothing_until_the_store_has_answered (refused after 2 s). New without a fault behind them: primary deposed between read and proof, values set in part, key withdrawn during a suspension.

--- a/crates/relay/src/failover/held.rs
+++ b/crates/relay/src/failover/held.rs
@@ -1,7 +1,6 @@
 //! A duty that this instance holds.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use store::Outcome;
 use store::Row;
@@ -9,12 +8,11 @@
 
 use crate::failover::Duty;
 use crate::failover::Phase;
+use crate::failover::row;
+use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
 use crate::node::Node;
 
-/// Longest wait for a call to the table.
-const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// A duty that this instance holds.
 pub struct Held {
     /// The content of the row.
@@ -25,6 +23,16 @@
     is_inherited: bool,
 }
 
+/// What is known of a duty whose holder may have died at work.
+pub enum Unfinished {
+    /// The last holder has ended its work.
+    Nothing,
+    /// This instance goes on with the work.
+    Taken(Held),
+    /// The holder may live, or the table does not answer.
+    Unknown,
+}
+
 impl Held {
     /// Returns whether an order of an earlier holder may still be carried out.
     pub fn may_have_ordered(&self) -> bool {
@@ -33,8 +41,25 @@
 
     /// Takes a group's duty; `None` if another instance has it or the table does not answer.
     pub async fn take(node: &Node, group: &Group) -> Option<Self> {
+        let row = row::read(node, group, &Duty::key(&group.name)).await?;
+        Self::take_over(node, group, row).await
+    }
+
+    /// Takes a group's duty if its holder died at work.
+    pub async fn take_unfinished(node: &Node, group: &Group) -> Unfinished {
+        let Some(row) = row::read(node, group, &Duty::key(&group.name)).await else {
+            return Unfinished::Unknown;
+        };
+        let duty = row.as_ref().and_then(Duty::read);
+        if duty.is_none_or(|duty| duty.phase == Phase::Done) {
+            return Unfinished::Nothing;
+        }
+        let taken = Self::take_over(node, group, row).await;
+        taken.map_or(Unfinished::Unknown, Unfinished::Taken)
+    }
+
+    async fn take_over(node: &Node, group: &Group, row: Option<Row>) -> Option<Self> {
         let key = Duty::key(&group.name);
-        let row = read(node, group, &key).await?;
         let now = node.now();
         if !node
             .duties
@@ -73,7 +98,7 @@
                     "event=duty-in-doubt group={} why=\"{failed:?}\"",
                     group.name
                 );
-                let row = read(node, group, &key).await??;
+                let row = row::read(node, group, &key).await??;
                 let is_ours = Duty::read(&row).is_some_and(|read| read == duty);
                 is_ours.then_some(Self {
                     duty,
@@ -110,13 +135,3 @@
         }
     }
 }
-
-async fn read(node: &Node, group: &Group, key: &str) -> Option<Option<Row>> {
-    match timeout(TABLE_TIMEOUT, node.parts.table.get(key)).await {
-        Ok(Ok(row)) => Some(row),
-        failed => {
-            log::info!("event=duty-unread group={} why=\"{failed:?}\"", group.name);
-            None
-        }
-    }
-}
--- a/crates/relay/src/failover/look.rs
+++ b/crates/relay/src/failover/look.rs
@@ -1,23 +1,17 @@
-//! Looks whether primaries are to be replaced and whether servers have left.
+//! Looks whether primaries are to be replaced.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use clock::Time;
-use tokio::time::sleep;
 
+use crate::failover::Reason;
 use crate::failover::Sight;
-use crate::failover::command;
 use crate::failover::replacement::Replacement;
 use crate::group::Group;
-use crate::message::Statement;
 use crate::node::Node;
 use crate::node::lock;
 
-/// The period of looks whether a server that said it leaves has left.
-const DEPARTED_EVERY: Duration = Duration::from_millis(1_000);
-
 /// Looks whether the primary is to be replaced, and starts that.
 pub async fn look(node: &Arc<Node>, group: &Arc<Group>) {
     let now = node.now();
@@ -27,8 +21,10 @@
         return;
     }
     let sight = sight(now, group);
-    let Some(reason) = lock(&group.suspicion).step(now, &sight) else {
-        return;
+    let reason = match lock(&group.suspicion).step(now, &sight) {
+        Some(reason) => reason,
+        None if sight.is_known && lock(&group.checkup).step(now) => Reason::Unfinished,
+        None => return,
     };
     if group.is_in_failover.swap(true, Ordering::Relaxed) {
         return;
@@ -36,25 +32,17 @@
     let node = Arc::clone(node);
     let group = Arc::clone(group);
     tokio::spawn(async move {
-        Replacement::of(&node, &group, reason).run().await;
-        lock(&group.suspicion).on_tried(node.now());
+        let mut replacement = Replacement::of(&node, &group, reason);
+        if reason == Reason::Unfinished {
+            replacement.finish().await;
+        } else {
+            replacement.run().await;
+            lock(&group.suspicion).on_tried(node.now());
+        }
         group.is_in_failover.store(false, Ordering::Relaxed);
     });
 }
 
-/// Finds out which servers that said they leave have left, until the process ends.
-pub async fn watch_departed(node: Arc<Node>, group: Arc<Group>) {
-    loop {
-        sleep(DEPARTED_EVERY).await;
-        for (name, entry) in group.departed() {
-            let answer = command::apart(&node, &group, &name, &entry, &Statement::Status).await;
-            if answer.is_err_and(|error| command::shows_absence(&error)) {
-                group.on_left(&name);
-            }
-        }
-    }
-}
-
 fn sight(now: Time, group: &Group) -> Sight {
     let proven = lock(&group.lead).proven();
     let Some(leader) = group.leader() else {
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -1,18 +1,25 @@
 //! The replacement of primaries that fail or leave.
 
+mod checkup;
 mod command;
+mod departed;
+mod departures;
 mod duty;
 mod held;
 mod look;
 mod replacement;
+mod row;
 mod survey;
 mod suspicion;
 
+pub use checkup::Checkup;
+pub use departed::watch_departed;
+pub use departures::Departed;
+pub use departures::Departures;
 pub use duty::Duties;
 pub use duty::Duty;
 pub use duty::Phase;
 pub use look::look;
-pub use look::watch_departed;
 pub use survey::Choice;
 pub use survey::Survey;
 pub use suspicion::Reason;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,8 +1,6 @@
 //! The replacement of a group's primary, step by step.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -24,6 +22,7 @@
 use crate::failover::Survey;
 use crate::failover::command;
 use crate::failover::held::Held;
+use crate::failover::held::Unfinished;
 use crate::group::Group;
 use crate::group::Server;
 use crate::message::Statement;
@@ -64,10 +63,8 @@
     reason: Reason,
     /// The primary as it was known when the try began.
     old: Option<Arc<Server>>,
-    /// Whether an order was given.
-    has_ordered: AtomicBool,
     /// The newest term that any server has reported; orders need a later one.
-    term: AtomicU64,
+    term: u64,
 }
 
 impl<'a> Replacement<'a> {
@@ -78,13 +75,12 @@
             group,
             reason,
             old: group.leader(),
-            has_ordered: AtomicBool::new(false),
-            term: AtomicU64::new(lock(&group.lead).term()),
+            term: lock(&group.lead).term(),
         }
     }
 
     /// Replaces the primary if the other instances agree that it must be, and if it can be.
-    pub async fn run(&self) {
+    pub async fn run(&mut self) {
         let opinions = self
             .node
             .peers
@@ -106,7 +102,7 @@
         let is_vouched = match self.reason {
             Reason::Silent => vouchers * 2 > opinions.len() + 1,
             Reason::Stuck => opinions.iter().any(Opinion::has_committed_lately),
-            Reason::Leaving | Reason::Missing => false,
+            Reason::Leaving | Reason::Missing | Reason::Unfinished => false,
         };
         if is_vouched || newer > 0 {
             log::info!(
@@ -154,11 +150,40 @@
         if let Some(leader) = &promoted {
             self.resume(leader).await;
         }
-        // A try that gave up may have left an order behind; the next one must know.
-        let is_settled = promoted.is_some() || !self.has_ordered.load(Ordering::Relaxed);
+        self.end(&mut held, promoted.is_some()).await;
+    }
+
+    /// Ends a replacement whose holder died at it, where the primary leads: replicas may have been
+    /// left paused, and an order may still be carried out.
+    pub async fn finish(&mut self) {
+        let mut held = match Held::take_unfinished(self.node, self.group).await {
+            Unfinished::Nothing => return,
+            Unfinished::Unknown => {
+                lock(&self.group.checkup).on_replacement(self.node.now());
+                return;
+            }
+            Unfinished::Taken(held) => held,
+        };
+        let leader = self.old_is_back(&held).await;
+        log::info!(
+            "event=failover-finished group={} leader={} token={}",
+            self.group.name,
+            leader.as_deref().unwrap_or("-"),
+            held.duty.token
+        );
+        if let Some(leader) = &leader {
+            self.resume(leader).await;
+        }
+        self.end(&mut held, leader.is_some()).await;
+    }
+
+    /// Writes how the work ended; one that is not settled may have left an order and paused
+    /// replicas behind, and the next holder must know.
+    async fn end(&self, held: &mut Held, is_settled: bool) {
         let phase = if is_settled {
             Phase::Done
         } else {
+            lock(&self.group.checkup).on_replacement(self.node.now());
             Phase::Working
         };
         held.write(self.node, self.group, phase).await;
@@ -172,11 +197,12 @@
         let known = self.group.holders(now).len();
         let sync_replicas = lock(&self.group.settings).sync_replicas;
         // A primary, the replicas that acknowledge with it, and one more.
-        known >= sync_replicas + 2 || now >= self.node.started + MEMORY
+        let has_enough = known >= sync_replicas + 2 || now >= self.node.started + MEMORY;
+        has_enough && lock(&self.group.departures).is_read()
     }
 
     /// Replaces the primary under a held duty; returns the new one.
-    async fn replace(&self, held: &mut Held, acknowledged: Position) -> Option<Arc<str>> {
+    async fn replace(&mut self, held: &mut Held, acknowledged: Position) -> Option<Arc<str>> {
         let mut survey = Survey {
             sync_replicas: lock(&self.group.settings).sync_replicas,
             acknowledged,
@@ -253,7 +279,7 @@
     }
 
     /// Stops what can still acknowledge commits, and asks how far each log has come.
-    async fn survey(&self, survey: &mut Survey) {
+    async fn survey(&mut self, survey: &mut Survey) {
         survey.holders = self.group.holders(self.node.now());
         let servers = self.group.servers();
         survey.leaving = servers
@@ -261,33 +287,30 @@
             .filter(|server| server.is_draining())
             .map(|server| Arc::clone(&server.name))
             .collect();
-        let term = self
-            .term
-            .load(Ordering::Relaxed)
-            .max(survey.acknowledged.term)
-            + 1;
+        let term = self.term.max(survey.acknowledged.term) + 1;
         // What was paused may have started anew since the last look.
         survey.paused.clear();
         survey.following.clear();
         let is_planned = self.reason == Reason::Leaving;
+        let this = &*self;
         let asked = servers.iter().map(|server| async move {
-            let is_old = self.old.as_ref().is_some_and(|old| old.name == server.name);
+            let is_old = this.old.as_ref().is_some_and(|old| old.name == server.name);
             let statement = match (is_old, is_planned) {
                 // One that does not answer anyhow is left as it is, for it may be back.
-                (true, _) if self.reason == Reason::Silent => return (server, true, None),
+                (true, _) if this.reason == Reason::Silent => return (server, true, None),
                 (true, _) => Statement::Demote { term },
                 (false, true) => Statement::Status,
                 (false, false) => Statement::Pause { term },
             };
-            (server, is_old, self.control(server, &statement).await)
+            (server, is_old, this.control(server, &statement).await)
         });
-        let departed = self.group.departed();
+        let departed = self.group.to_ask();
         let (answers, departed) = join(
             join_all(asked),
             join_all(
                 departed
                     .iter()
-                    .map(|(name, entry)| self.stop_departed(name, entry, term)),
+                    .map(|(name, entry)| this.stop_departed(name, entry, term)),
             ),
         )
         .await;
@@ -299,8 +322,7 @@
                 continue;
             };
             let name = Arc::clone(&server.name);
-            self.term
-                .fetch_max(status.term.max(status.paused), Ordering::Relaxed);
+            self.term = self.term.max(status.term).max(status.paused);
             if status.role == Role::Primary {
                 // It leads under a term that is not known here yet.
                 task::leader::ask(self.node, self.group, server).await;
@@ -351,7 +373,6 @@
             holder: Arc::clone(&self.node.options.name),
             token: held.duty.token,
         };
-        self.has_ordered.store(true, Ordering::Relaxed);
         for _ in 0..TRIES {
             let given = timeout(PROMOTE_TIMEOUT, self.node.parts.promoter.promote(&order)).await;
             log::info!(
--- a/crates/relay/src/failover/suspicion.rs
+++ b/crates/relay/src/failover/suspicion.rs
@@ -24,6 +24,8 @@
     Stuck,
     /// No server leads.
     Missing,
+    /// It leads, but an instance died while it replaced an earlier one.
+    Unfinished,
 }
 
 /// What is seen of a leader at a moment.
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -16,6 +16,9 @@
 
 use crate::border::Connector;
 use crate::border::Target;
+use crate::failover::Checkup;
+use crate::failover::Departed;
+use crate::failover::Departures;
 use crate::failover::Suspicion;
 use crate::group::Lead;
 use crate::group::Server;
@@ -68,6 +71,10 @@
     pub changed: Notify,
     /// Whether the leader is to be replaced.
     pub suspicion: Mutex<Suspicion>,
+    /// Whether the instance that replaced a leader died at it.
+    pub checkup: Mutex<Checkup>,
+    /// What is known of the row of departed servers.
+    pub departures: Mutex<Departures>,
     /// Whether other instances reach the leader and this one does not.
     pub is_led_elsewhere: AtomicBool,
     /// Whether this instance is replacing the leader.
@@ -92,6 +99,8 @@
             vanished: Mutex::default(),
             changed: Notify::new(),
             suspicion: Mutex::default(),
+            checkup: Mutex::new(Checkup::open(clock.now())),
+            departures: Mutex::default(),
             is_led_elsewhere: AtomicBool::new(false),
             is_in_failover: AtomicBool::new(false),
             connector,
@@ -188,18 +197,52 @@
         holders
     }
 
-    /// Returns the servers whose entries vanished after they had said that they leave.
-    ///
-    /// One may have left, or may only be cut off from the store and still acknowledge commits.
-    pub fn departed(&self) -> Vec<(Arc<str>, settings::Server)> {
+    /// Returns the servers whose entries vanished after they had said that they leave, as long as
+    /// they count as holders.
+    pub fn departed(&self, now: Time) -> Departed {
         lock(&self.vanished)
             .iter()
-            .filter(|(_, server)| server.left.is_none())
+            .filter(|(_, server)| now < server.at + REMEMBERED)
             .filter_map(|(name, server)| Some((Arc::clone(name), server.entry.clone()?)))
             .filter(|(_, entry)| entry.is_draining)
             .collect()
     }
 
+    /// Returns the departed servers that may not have left yet.
+    ///
+    /// One may have left, or may only be cut off from the store and still acknowledge commits.
+    pub fn to_ask(&self) -> Departed {
+        let mut departed = self.departed(self.clock.now());
+        let vanished = lock(&self.vanished);
+        departed.retain(|name, _| {
+            vanished
+                .get(name)
+                .is_some_and(|server| server.left.is_none())
+        });
+        departed
+    }
+
+    /// Counts departed servers that were recorded before this instance started.
+    pub fn recall(&self, departed: Departed) {
+        let at = self.clock.now();
+        let servers = lock(&self.servers);
+        let mut vanished = lock(&self.vanished);
+        for (name, entry) in departed {
+            let is_followed = servers.iter().any(|(known, server)| {
+                *known == name || lock(&server.entry).address == entry.address
+            });
+            if is_followed {
+                continue;
+            }
+            log::info!("event=server-recalled group={} server={name}", self.name);
+            vanished.entry(name).or_insert(Vanished {
+                at,
+                entry: Some(entry),
+                left: None,
+            });
+        }
+    }
+
     /// Counts servers that another instance knew as holders of commits.
     pub fn remember(&self, names: &BTreeSet<Arc<str>>) {
         let at = self.clock.now();
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -84,6 +84,8 @@
     pub rotation: Mutex<Rotation>,
     /// Whether the process was told to stop.
     pub is_leaving: AtomicBool,
+    /// Notified when a caller is refused because it is not known which keys are in force.
+    pub is_unsure: Notify,
     /// Notified when settings came into force.
     pub applied: Notify,
     /// Notified when sessions that rest should look whether to close.
@@ -136,6 +138,7 @@
             shares: Mutex::default(),
             rotation: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            is_unsure: Notify::new(),
             applied: Notify::new(),
             leaving: Notify::new(),
             meter: Meter::open(),
@@ -301,6 +304,7 @@
                 "the key is not in force any more",
             )),
             KeyDecision::Unsure => {
+                self.is_unsure.notify_one();
                 let why = "it is not known whether the key is in force";
                 Err(Failure::not_run(why, self.options.retry_after))
             }
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -156,6 +156,8 @@
         }
         Content::Ask { id, group } => {
             if let Some(group) = node.group(&group) {
+                // Only an instance that is about to replace the leader asks.
+                lock(&group.checkup).on_replacement(node.now());
                 let opinion = opinion(node, &group);
                 node.peers
                     .send(node, address, Content::Opinion { id, opinion })
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -11,7 +11,8 @@
 use axum::routing::get;
 use clock::Span;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -66,19 +67,21 @@
         node.options.peer,
         node.life
     );
-    tokio::spawn(answer_probes(
+    // They end with the instance.
+    let mut tasks = JoinSet::new();
+    tasks.spawn(answer_probes(
         Arc::clone(&node),
         ready,
         ready_path.to_owned(),
     ));
-    tokio::spawn(task::follow_revisions(Arc::clone(&node)));
-    tokio::spawn(task::follow_servers(Arc::clone(&node)));
-    tokio::spawn(task::learn_secret(Arc::clone(&node)));
-    tokio::spawn(task::keep_lease(Arc::clone(&node)));
-    tokio::spawn(task::step_ledger(Arc::clone(&node)));
-    tokio::spawn(peers::run(Arc::clone(&node)));
-    tokio::spawn(watch(Arc::clone(&node)));
-    let accepting = tokio::spawn(accept(Arc::clone(&node), listener));
+    tasks.spawn(task::follow_revisions(Arc::clone(&node)));
+    tasks.spawn(task::follow_servers(Arc::clone(&node)));
+    tasks.spawn(task::learn_secret(Arc::clone(&node)));
+    tasks.spawn(task::keep_lease(Arc::clone(&node)));
+    tasks.spawn(task::step_ledger(Arc::clone(&node)));
+    tasks.spawn(peers::run(Arc::clone(&node)));
+    tasks.spawn(watch(Arc::clone(&node)));
+    let accepting = tasks.spawn(accept(Arc::clone(&node), listener));
     stop.await;
     leave(&node, accepting, stop_limit).await;
     log::info!("event=stopped");
@@ -111,6 +114,7 @@
 /// Starts a watch for each new group, and looks whether the instance can serve.
 async fn watch(node: Arc<Node>) {
     let mut watched = BTreeSet::new();
+    let mut watches = JoinSet::new();
     let mut summed_up = node.now();
     let mut reported = node.now();
     loop {
@@ -124,8 +128,8 @@
         }
         for group in node.groups() {
             if watched.insert(Arc::clone(&group.name)) {
-                tokio::spawn(task::leader::run(Arc::clone(&node), Arc::clone(&group)));
-                tokio::spawn(failover::watch_departed(Arc::clone(&node), group));
+                watches.spawn(task::leader::run(Arc::clone(&node), Arc::clone(&group)));
+                watches.spawn(failover::watch_departed(Arc::clone(&node), group));
             }
         }
         let (changed, is_ready) = {
@@ -182,7 +186,7 @@
 }
 
 /// Ends without cutting a request: sessions close as soon as they rest.
-async fn leave(node: &Arc<Node>, accepting: JoinHandle<()>, limit: Duration) {
+async fn leave(node: &Arc<Node>, accepting: AbortHandle, limit: Duration) {
     log::info!("event=stopping sessions={}", node.meter.sessions.get());
     let begun = Instant::now();
     node.is_leaving.store(true, Ordering::Relaxed);
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -305,7 +305,7 @@
         let route = Arc::clone(&transaction.route);
         let group = Arc::clone(&transaction.group);
         if let Err(failure) = self.node.may_run(&self.account, &self.key, &route) {
-            transaction.is_failed = true;
+            transaction.end();
             return Reply::failed(failure, State::Failed);
         }
         let job = self.job(id, statement, shape, &route, &group, transaction.arrived);
--- a/crates/relay/src/settings/server.rs
+++ b/crates/relay/src/settings/server.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use endpoint::Role;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// A server's own description.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Server {
     /// Its database group.
     pub group: Arc<str>,
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -19,9 +19,19 @@
 /// Follows the settings until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut follower = Follower::open(&node.parts.revisions, "settings");
+    let mut wait = WAIT;
     loop {
         let begun = node.now();
-        if let Some(step) = follower.next(WAIT).await {
+        let step = tokio::select! {
+            step = follower.next(wait) => step,
+            // A caller was refused for it, so the question is asked anew and answered at once.
+            () = node.is_unsure.notified(), if wait > Duration::ZERO => {
+                wait = Duration::ZERO;
+                continue;
+            }
+        };
+        wait = WAIT;
+        if let Some(step) = step {
             take(&node, step.batch);
             let number = node.revision().number;
             lock(&node.keyring).on_current(begun, number);
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -1,13 +1,18 @@
 //! The replacement of primaries, through whole instances.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use relay::failover::Duty;
+use relay::failover::Phase;
 use relay::message::Code;
 use relay::message::Statement;
+use store::Table;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::world::GROUP;
 use crate::world::World;
 
 /// The longest time from a primary's failure to the next acknowledged write.
@@ -204,3 +209,89 @@
     assert_eq!(servers, ["b"], "no write goes to the former primary");
     assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_starts_later_counts_a_departed_replica() {
+    let world = World::open();
+    let first = world.start("i1").await;
+    let mut client = first.connect("orders").await;
+    world.enter("c", 3, true);
+    world.group.join("d");
+    world.enter("d", 4, false);
+    sleep(Duration::from_secs(1)).await;
+    // Its entry is gone, but it still receives and acknowledges.
+    world.servers.change(|rows| {
+        rows.remove("c");
+    });
+    sleep(Duration::from_secs(3)).await;
+    world.group.deafen("b", true);
+    world.group.deafen("d", true);
+    client.write("x", "kept").await.expect("c received it");
+    drop(client);
+    first.crash().await;
+    let second = world.start("i1").await;
+    let mut client = second.connect("orders").await;
+    world.group.crash("a");
+    world.group.deafen("b", false);
+    world.group.deafen("d", false);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(8) && client.write("y", "1").await.is_err() {
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_departed_replica_that_is_gone_for_good_blocks_no_later_replacement() {
+    let world = World::open();
+    let first = world.start("i1").await;
+    let mut client = first.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.enter("c", 3, true);
+    world.group.join("d");
+    world.enter("d", 4, false);
+    sleep(Duration::from_secs(1)).await;
+    world.servers.change(|rows| {
+        rows.remove("c");
+    });
+    world.group.crash("c");
+    sleep(Duration::from_secs(3)).await;
+    client.write("x", "2").await.expect("a write without c");
+    sleep(Duration::from_secs(3)).await;
+    drop(client);
+    first.crash().await;
+    let second = world.start("i1").await;
+    let mut client = second.connect("orders").await;
+    world.group.crash("a");
+    let gap = write_on(&mut client, "y").await;
+    assert!(gap < GAP, "the gap was {gap:?}");
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_a_dead_holder_left_paused_is_resumed() {
+    let world = World::open();
+    let duty = Duty {
+        holder: Arc::from("dead"),
+        life: 7,
+        token: 3,
+        phase: Phase::Working,
+        holders: BTreeSet::new(),
+    };
+    let (condition, write) = duty.replace(GROUP, None);
+    let put = world.table.commit(vec![condition], vec![write]).await;
+    put.expect("the table answers");
+    world.group.pause("b", 2);
+    let instance = world.start("i1").await;
+    // Nobody writes, so nothing else shows that the replica receives nothing.
+    sleep(Duration::from_secs(10)).await;
+    assert!(
+        world.group.paused().is_empty(),
+        "{:?}",
+        world.group.paused()
+    );
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    assert_eq!(world.group.leader().as_deref(), Some("a"));
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Span;
 use relay::message::Access;
 use relay::message::Code;
 use relay::message::Shape;
@@ -364,3 +365,108 @@
     }
     assert_eq!(world.group.writes("x"), writes);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_read_at_a_primary_deposed_meanwhile_is_not_answered_from_it() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "old").await.expect("a write");
+    let before = world.group.runs().len();
+    world.group.depose_after_next("b", "x", "new");
+    assert_eq!(client.read("x").await.as_deref(), Ok("new"));
+    let runs = world.group.runs().split_off(before);
+    let servers: Vec<&str> = runs.iter().map(|run| &*run.server).collect();
+    assert_eq!(servers, ["a", "b"], "it first ran at the former primary");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_transaction_at_a_primary_deposed_meanwhile_keeps_nothing() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "old").await.expect("a write");
+    client
+        .run(Statement::Begin {
+            is_read_only: false,
+        })
+        .await;
+    world.group.depose_after_next("b", "x", "new");
+    client.write("x", "own").await.expect("a write");
+    let committed = client.run(Statement::Commit).await;
+    let failure = committed.outcome.expect_err("the primary was replaced");
+    assert!(
+        matches!(failure.code, Code::ReadOnly | Code::Aborted),
+        "{failure:?}"
+    );
+    assert_eq!(client.read("x").await.as_deref(), Ok("new"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_whose_values_were_set_in_part_serves_nobody() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.set("tz", "utc").await;
+    client.set("lang", "am").await;
+    world.group.refuse_set_after(1);
+    client.read("x").await.expect("a read");
+    let run = world.group.runs().pop().expect("a run");
+    let names: Vec<&str> = run.values.keys().map(|name| &**name).collect();
+    assert_eq!(names, ["lang", "tz"], "both values were set");
+    let mut other = instance.connect("orders").await;
+    for _ in 0..4 {
+        other.read("x").await.expect("a read");
+        let run = world.group.runs().pop().expect("a run");
+        assert!(run.values.is_empty(), "no value of another session is left");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_suspended_instance_trusts_nothing_until_the_store_has_answered() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    instance.sleep_through(Span::from_secs(8));
+    let failure = client.write("x", "2").await.expect_err("its keys lapsed");
+    assert_eq!(failure.code, Code::Busy);
+    assert!(failure.text.contains("not run"), "{}", failure.text);
+    assert_eq!(world.group.writes("x"), 1);
+    sleep(Duration::from_secs(2)).await;
+    // It turned its callers away meanwhile, for others may serve them.
+    let mut client = instance.connect("orders").await;
+    client
+        .write("x", "3")
+        .await
+        .expect("the store has answered");
+    assert_eq!(client.read("x").await.as_deref(), Ok("3"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_withdrawn_while_the_instance_was_suspended_runs_nothing() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    instance.sleep_through(Span::from_secs(8));
+    let mut next = revision(2);
+    let shop = next.accounts.get_mut("shop").expect("an account");
+    shop.keys.clear();
+    world.set(next);
+    let mut codes = Vec::new();
+    for _ in 0..40 {
+        let Some(reply) = client
+            .try_run(Statement::Write {
+                arguments: Arc::from("x 2"),
+            })
+            .await
+        else {
+            break;
+        };
+        codes.push(reply.code());
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(codes.last(), Some(&Some(Code::NoAccess)), "{codes:?}");
+    assert_eq!(world.group.writes("x"), 1, "{codes:?}");
+}
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -83,6 +83,10 @@
     pub(super) runs: Vec<Run>,
     /// Loses the answer to the next statement of a caller after it ran.
     pub(super) loses_answer: bool,
+    /// After a caller's next statement this server leads and has taken this write.
+    pub(super) deposes: Option<(Arc<str>, String, String)>,
+    /// Settings of session values that run before one is refused.
+    pub(super) sets_left: Option<usize>,
 }
 
 /// A group of three servers.
@@ -147,6 +151,37 @@
         self.lock().loses_answer = true;
     }
 
+    /// Makes another server the leader right after a caller's next statement, and has it take a
+    /// write.
+    pub fn depose_after_next(&self, chosen: &str, item: &str, data: &str) {
+        let write = (Arc::from(chosen), item.to_owned(), data.to_owned());
+        self.lock().deposes = Some(write);
+    }
+
+    /// Refuses one setting of a session value after some more have run.
+    pub fn refuse_set_after(&self, sets: usize) {
+        self.lock().sets_left = Some(sets);
+    }
+
+    /// Adds a server that has all of the leader's log.
+    pub fn join(&self, name: &str) {
+        let mut inner = self.lock();
+        let leader = inner.leader.clone().expect("a leader");
+        let log = inner.servers[&leader].log.clone();
+        let applied = log.len();
+        let server = Server {
+            log,
+            applied,
+            ..Server::default()
+        };
+        inner.servers.insert(Arc::from(name), server);
+    }
+
+    /// Stops a replica from receiving, as a replacement does.
+    pub fn pause(&self, name: &str, term: u64) {
+        self.change(name, |server| server.paused = term);
+    }
+
     /// Returns the leader.
     pub fn leader(&self) -> Option<Arc<str>> {
         self.lock().leader.clone()
@@ -184,6 +219,10 @@
 }
 
 impl Inner {
+    pub(super) fn server(&mut self, name: &str) -> &mut Server {
+        self.servers.get_mut(name).expect("a server")
+    }
+
     /// Appends records at the leader; `false` if no replica received them.
     pub(super) fn commit(&mut self, writes: &[(String, String)]) -> bool {
         let Some(leader) = self.leader.clone() else {
@@ -258,6 +297,15 @@
         self.lead(&Arc::from(chosen));
     }
 
+    /// Carries out `depose_after_next`.
+    pub(super) fn depose(&self) {
+        let Some((chosen, item, data)) = self.lock().deposes.take() else {
+            return;
+        };
+        self.lead(&chosen);
+        self.lock().commit(&[(item, data)]);
+    }
+
     /// Makes a server the leader with what it has received.
     fn lead(&self, chosen: &Arc<str>) {
         let mut inner = self.lock();
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -7,13 +7,16 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use account::rate::Limit;
 use async_trait::async_trait;
+use clock::Clock;
 use clock::Span;
 use clock::System;
+use clock::Time;
 use endpoint::Role;
 use relay::border::Caller;
 use relay::node::Options;
@@ -121,6 +124,32 @@
     }
 }
 
+/// A clock that goes on while an instance does not run.
+pub struct Leap {
+    clock: System,
+    /// Microseconds for which the instance did not run.
+    slept: AtomicU64,
+}
+
+impl Leap {
+    fn open() -> Arc<Self> {
+        Arc::new(Self {
+            clock: System::open(),
+            slept: AtomicU64::new(0),
+        })
+    }
+}
+
+impl Clock for Leap {
+    fn now(&self) -> Time {
+        self.clock.now() + Span::from_micros(self.slept.load(Ordering::Relaxed))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.clock.wall_ms()
+    }
+}
+
 /// Returns the settings of the tests: one group, a database for each kind of route.
 pub fn revision(number: u64) -> Revision {
     let staleness = Span::from_millis(1_500);
@@ -170,6 +199,8 @@
     pub table: Arc<Memory>,
     pub revisions: Arc<Rows<Revision>>,
     pub servers: Arc<Rows<settings::Server>>,
+    /// Where each instance listens for the others, also after a restart.
+    peers: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
 }
 
 impl World {
@@ -180,6 +211,7 @@
             table: Memory::open(),
             revisions: Rows::open(),
             servers: Rows::open(),
+            peers: Mutex::default(),
         };
         world.set(revision(1));
         for (port, name) in [(1, "a"), (2, "b"), (3, "c")] {
@@ -234,24 +266,30 @@
         self.start_with(name, Some(Span::from_secs(3)))
     }
 
+    fn peer(&self, name: &str) -> SocketAddr {
+        let mut peers = self.peers.lock().expect("no test panics with the lock");
+        *peers.entry(Arc::from(name)).or_insert_with(free_udp)
+    }
+
     fn start_with(&self, name: &str, key_grace: Option<Span>) -> Instance {
         let options = Options {
             name: Arc::from(name),
             zone: Arc::from("z"),
-            peer: free_udp(),
+            peer: self.peer(name),
             ready: SocketAddr::from(([127, 0, 0, 1], 0)),
             key_grace,
             stop_limit: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
         let promoter: Arc<Group> = Arc::clone(&self.group);
+        let clock = Leap::open();
         let parts = Parts {
             connector: Arc::new(Links(Arc::clone(&self.group))),
             promoter,
             table: self.table.clone(),
             revisions: self.revisions.clone(),
             servers: self.servers.clone(),
-            clock: Arc::new(System::open()),
+            clock: Arc::<Leap>::clone(&clock),
         };
         let (front, listener) = Front::open();
         let (stop, stopped) = oneshot::channel::<()>();
@@ -263,6 +301,7 @@
         let task = tokio::spawn(run);
         Instance {
             front,
+            clock,
             stop: Some(stop),
             task,
         }
@@ -272,6 +311,7 @@
 /// A running instance.
 pub struct Instance {
     front: mpsc::Sender<Box<dyn Caller>>,
+    clock: Arc<Leap>,
     stop: Option<oneshot::Sender<()>>,
     pub task: JoinHandle<Result<(), relay::Error>>,
 }
@@ -292,6 +332,21 @@
         Client::connect(&self.front, database, key).await
     }
 
+    /// Lets time pass in which the instance does not run, as on a suspended machine.
+    pub fn sleep_through(&self, span: Span) {
+        let micros = span.as_micros();
+        self.clock.slept.fetch_add(micros, Ordering::Relaxed);
+    }
+
+    /// Ends the instance at once, as a crash does, and lets its last calls end; its callers must
+    /// be gone.
+    pub async fn crash(self) {
+        self.task.abort();
+        let ended = self.task.await;
+        assert!(ended.is_err_and(|error| error.is_cancelled()));
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+
     /// Tells the instance to stop.
     pub fn stop(&mut self) {
         drop(self.stop.take());
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -148,7 +148,6 @@
         is_leader: bool,
         rows: &mut Vec<Arc<str>>,
     ) -> Result<(), Code> {
-        let server = inner.servers.get_mut(&self.server).expect("a server");
         match &request.statement {
             Statement::Begin { is_read_only } => {
                 if !is_read_only && !is_leader {
@@ -163,6 +162,11 @@
                 self.writes.clear();
             }
             Statement::Set { name, value } => {
+                if inner.sets_left == Some(0) {
+                    inner.sets_left = None;
+                    return Err(Code::Busy);
+                }
+                inner.sets_left = inner.sets_left.map(|left| left - 1);
                 self.values.insert(Arc::clone(name), Arc::clone(value));
             }
             Statement::Prepare { name, shape } => {
@@ -172,8 +176,9 @@
                 self.values.clear();
                 self.prepared.clear();
             }
-            Statement::Pause { term } => server.paused = *term,
+            Statement::Pause { term } => inner.server(&self.server).paused = *term,
             Statement::Resume => {
+                let server = inner.server(&self.server);
                 server.paused = 0;
                 server.applied = server.log.len();
             }
@@ -211,6 +216,9 @@
             if !self.group.lock().servers[&self.server].is_silent {
                 let reply = self.run(request);
                 self.replies.push_back(reply);
+                if request.id.is_some() {
+                    self.group.depose();
+                }
             }
         }
         Ok(())
--- a/crates/relay/tests/relay/world/mod.rs
+++ b/crates/relay/tests/relay/world/mod.rs
@@ -6,6 +6,7 @@
 mod link;
 
 pub use caller::Client;
+pub use group::GROUP;
 pub use group::Group;
 pub use instance::KEY;
 pub use instance::World;
