Grant half of the stated slack of a quota window as rate

Change: account::rate::Quota turns a limit over windows into a bucket; half of the slack stays for requests that wait after they were admitted.

--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod message;
 mod policy;
+mod quota;
 mod schedule;
 mod slices;
 
@@ -24,6 +25,7 @@
 pub use message::Message;
 pub use message::Take;
 pub use policy::Policy;
+pub use quota::Quota;
 pub use schedule::Schedule;
 pub use slices::EPOCH_KEY;
 pub use slices::Member;
--- a/crates/account/tests/rate/main.rs
+++ b/crates/account/tests/rate/main.rs
@@ -3,6 +3,7 @@
 mod conflict;
 mod fleet;
 mod minute;
+mod quota;
 mod random;
 mod traps;
 mod waiting;
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -17,6 +17,7 @@
 use account::rate;
 use account::rate::Decision;
 use account::rate::Ledger;
+use account::rate::Limit;
 use clock::Time;
 use membership::Identity;
 use membership::Keeper;
@@ -193,7 +194,7 @@
         let limits = revision
             .accounts
             .iter()
-            .map(|(name, account)| (Arc::clone(name), account.limit))
+            .map(|(name, account)| (Arc::clone(name), self.bucket(account.limit)))
             .collect();
         lock(&self.ledger).on_settings(self.now(), revision.number, &limits);
         self.apply_groups(&revision);
@@ -341,6 +342,13 @@
         }
     }
 
+    /// Returns the bucket that keeps an account's limit.
+    fn bucket(&self, limit: Limit) -> Limit {
+        self.options
+            .quota
+            .map_or(limit, |quota| quota.bucket(limit))
+    }
+
     fn apply_keys(&self, revision: &Revision) {
         let keys: Keys<()> = revision
             .accounts
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use account::rate::Quota;
 use clock::Span;
 
 /// What an instance is told at its start.
@@ -19,6 +20,8 @@
     /// How long keys count as known after the store last confirmed the settings; `None` if callers
     /// are served with the keys last known for as long as it takes.
     pub key_grace: Option<Span>,
+    /// Over which windows the accounts' limits hold; `None` if over any.
+    pub quota: Option<Quota>,
     /// How long a stopping process may still run.
     pub stop_limit: Span,
     /// When a caller whose statement was not run may come back.
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -278,6 +278,7 @@
             peer: self.peer(name),
             ready: SocketAddr::from(([127, 0, 0, 1], 0)),
             key_grace,
+            quota: None,
             stop_limit: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
