Learn members from the rows of slices, confirm settings by way of peers

Ruled out: longer polls (keys must be confirmed well within 5 s); pushing confirmations (a late datagram would make an old state look new). Change: account::rate tells who lives; the relay's lease rows and their task are gone. Two instances, and one more for each 16, ask the store for changes; the others ask one of them, which answers with the store's next answer and how long before or after the question that call began.

--- a/crates/account/src/rate/ledger.rs
+++ b/crates/account/src/rate/ledger.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// Returns the other instances whose leases have not lapsed, and where they listen.
+    pub fn members(&self) -> BTreeMap<Arc<str>, SocketAddr> {
+        self.share.members()
+    }
+
+    /// Returns when the rows of all instances were last read.
+    pub fn heard(&self) -> Option<Time> {
+        self.share.heard()
+    }
+
     /// Sets the instances that may be asked for loans, without this one.
     pub fn on_peers(&mut self, peers: Vec<Arc<str>>) {
         if peers == self.peers {
--- a/crates/account/src/rate/slices/share.rs
+++ b/crates/account/src/rate/slices/share.rs
@@ -85,6 +85,18 @@
         self.tenure.schedule(now, &self.policy)
     }
 
+    /// Returns the other live members and where they listen.
+    pub fn members(&self) -> BTreeMap<Arc<str>, SocketAddr> {
+        let mut members = self.view.live(&self.policy);
+        members.remove(&self.me.name);
+        members
+    }
+
+    /// Returns when the rows were last read.
+    pub fn heard(&self) -> Option<Time> {
+        self.view.read_at()
+    }
+
     /// Gives all slices back, for a planned stop.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -105,7 +117,13 @@
         self.call
             .take_if(|call| now >= call.started + self.policy.call);
         if self.call.is_none() && now >= self.next_read && !self.left {
-            self.next_read = now + self.policy.read;
+            let is_alone = self.view.rows.is_empty();
+            let every = if is_alone {
+                self.policy.first_read
+            } else {
+                self.policy.read
+            };
+            self.next_read = now + every;
             let id = self.begin(now, false);
             actions.push(Action::Read { id });
         }
--- a/crates/account/src/rate/slices/view.rs
+++ b/crates/account/src/rate/slices/view.rs
@@ -1,6 +1,7 @@
 //! The rows of all members as this instance has read them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use clock::Time;
@@ -35,6 +36,35 @@
             .is_some_and(|read_at| now.since(read_at) <= policy.read_gap)
     }
 
+    /// Returns when the last read had ended.
+    pub fn read_at(&self) -> Option<Time> {
+        self.read_at
+    }
+
+    /// Returns the members whose leases had not lapsed at the last read, and where they listen.
+    ///
+    /// While the table does not answer nobody can renew, so nobody lapses either.
+    pub fn live(&self, policy: &Policy) -> BTreeMap<Arc<str>, SocketAddr> {
+        let Some(read_at) = self.read_at else {
+            return BTreeMap::new();
+        };
+        let mut newest: BTreeMap<&Arc<str>, &Seen> = BTreeMap::new();
+        let live = self
+            .rows
+            .values()
+            .filter(|seen| !seen.lapsed(read_at, policy));
+        for seen in live {
+            let known = newest.entry(&seen.row.member.name).or_insert(seen);
+            if known.since < seen.since {
+                *known = seen;
+            }
+        }
+        newest
+            .into_iter()
+            .map(|(name, seen)| (Arc::clone(name), seen.row.address))
+            .collect()
+    }
+
     /// Takes in a read of all rows that ended at `now`.
     ///
     /// Returns false, and changes nothing, if a row does not parse.
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -18,12 +18,8 @@
 use account::rate::Decision;
 use account::rate::Ledger;
 use account::rate::Limit;
+use clock::Span;
 use clock::Time;
-use membership::Identity;
-use membership::Keeper;
-use membership::Lease;
-use membership::Phase;
-use membership::Roll;
 use tokio::sync::Notify;
 
 use crate::failover::Duties;
@@ -37,6 +33,7 @@
 use crate::node::Parts;
 use crate::node::Rotation;
 use crate::node::Shares;
+use crate::peers::Confirmations;
 use crate::peers::Content;
 use crate::peers::Peers;
 use crate::session::Job;
@@ -47,6 +44,9 @@
 /// Connections that each server keeps free for the tasks that replace a leader.
 const SPARE_CONNECTIONS: usize = 2;
 
+/// Once the members were read longer ago than this, it is not known who lives.
+const MEMBERS_AGE: Span = Span::from_secs(12);
+
 /// What the tasks and sessions of an instance share.
 pub struct Node {
     /// What it was told at its start.
@@ -66,10 +66,12 @@
     pub ledger_due: Notify,
     /// Notified when tokens came from another instance.
     pub tokens_came: Notify,
-    /// The instance's lease row.
-    pub keeper: Mutex<Keeper>,
-    /// The other instances.
-    pub roll: Mutex<Roll>,
+    /// Where the other live instances listen, by name.
+    members: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
+    /// Questions for confirmations of the settings.
+    pub confirmations: Mutex<Confirmations>,
+    /// Notified when another instance confirmed the settings.
+    pub confirmed: Notify,
     groups: Mutex<BTreeMap<Arc<str>, Arc<Group>>>,
     /// Entries of servers whose group the settings don't name yet.
     entries: Mutex<BTreeMap<Arc<str>, Server>>,
@@ -101,22 +103,6 @@
     /// Opens the shared state.
     pub fn open(options: Options, parts: Parts, peers: Peers, policy: rate::Policy) -> Arc<Self> {
         let life = rand::random();
-        let lease = Lease {
-            name: Arc::clone(&options.name),
-            life,
-            zone: Arc::clone(&options.zone),
-            address: Arc::from(options.peer.to_string()),
-            admin: Arc::from(options.ready.to_string()),
-            lease_ms: crate::task::LEASE.as_millis(),
-            phase: Phase::Live,
-            revision: 0,
-        };
-        let identity = Identity {
-            fleet: Arc::from("yuccamount"),
-            name: Arc::clone(&options.name),
-            life,
-            zone: Arc::clone(&options.zone),
-        };
         let keys = key_policy(&options);
         let ledger = Ledger::open(&options.name, life, options.peer, policy);
         let journal = Journal::open(Arc::clone(&parts.clock));
@@ -129,8 +115,9 @@
             ledger: Mutex::new(ledger),
             ledger_due: Notify::new(),
             tokens_came: Notify::new(),
-            keeper: Mutex::new(Keeper::open(lease)),
-            roll: Mutex::new(Roll::open(identity)),
+            members: Mutex::default(),
+            confirmations: Mutex::default(),
+            confirmed: Notify::new(),
             groups: Mutex::default(),
             entries: Mutex::default(),
             peers,
@@ -170,11 +157,24 @@
 
     /// Returns the addresses of the other live instances, by name.
     pub fn peer_addresses(&self) -> BTreeMap<Arc<str>, SocketAddr> {
-        let now = self.now();
-        lock(&self.roll)
-            .live(now)
-            .filter_map(|member| Some((Arc::clone(&member.name), member.address.parse().ok()?)))
-            .collect()
+        lock(&self.members).clone()
+    }
+
+    /// Takes in which other instances live.
+    pub fn on_members(&self, members: BTreeMap<Arc<str>, SocketAddr>) {
+        let mut known = lock(&self.members);
+        if *known == members {
+            return;
+        }
+        for name in known.keys().filter(|name| !members.contains_key(*name)) {
+            log::info!("event=member-lost member={name}");
+        }
+        for (name, address) in &members {
+            if known.get(name) != Some(address) {
+                log::info!("event=member-known member={name} address={address}");
+            }
+        }
+        *known = members;
     }
 
     /// Puts a revision in force, unless a newer one is.
@@ -237,17 +237,11 @@
     /// While the table does not answer it is not known who lives, and the shares stay as they are.
     pub fn share_connections(&self) {
         let now = self.now();
-        let others: Vec<Arc<str>> = {
-            let roll = lock(&self.roll);
-            let is_known = roll
-                .table_heard()
-                .is_some_and(|heard| now < heard + crate::task::LEASE);
-            if !is_known {
-                return;
-            }
-            let live = roll.live(now);
-            live.map(|member| Arc::clone(&member.name)).collect()
-        };
+        let heard = lock(&self.ledger).heard();
+        if heard.is_none_or(|heard| now >= heard + MEMBERS_AGE) {
+            return;
+        }
+        let others: Vec<Arc<str>> = self.peer_addresses().into_keys().collect();
         let own = lock(&self.load).per_second();
         for group in self.groups() {
             let most = lock(&group.settings).max_connections;
--- a/crates/relay/src/peers/message.rs
+++ b/crates/relay/src/peers/message.rs
@@ -33,6 +33,21 @@
     },
     /// How many statements a second the sender answers.
     Load(u64),
+    /// Asks for the next confirmation of the settings by the store.
+    Confirm {
+        /// Goes back with the answer.
+        id: u64,
+    },
+    /// The store confirmed the settings.
+    Confirmed {
+        /// The number of the question.
+        id: u64,
+        /// The newest revision.
+        revision: u64,
+        /// Milliseconds from the arrival of the question to the start of the call by which the
+        /// store confirmed the revision; negative if the call had begun before.
+        since_ms: i64,
+    },
     /// Who leads a group since a moment ago.
     Leader {
         /// The group.
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -1,8 +1,11 @@
 //! What instances tell each other.
 
+mod confirmations;
 mod message;
 mod peers;
 
+pub use confirmations::Confirmation;
+pub use confirmations::Confirmations;
 pub use message::Content;
 pub use message::Datagram;
 pub use message::Opinion;
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -167,6 +167,18 @@
         Content::Load(load) => {
             lock(&node.shares).on_report(node.now(), &datagram.from, load);
         }
+        Content::Confirm { id } => {
+            lock(&node.confirmations).on_question(node.now(), address, id);
+        }
+        Content::Confirmed {
+            id,
+            revision,
+            since_ms,
+        } => {
+            if lock(&node.confirmations).on_answer(id, revision, since_ms) {
+                node.confirmed.notify_one();
+            }
+        }
         Content::Leader { group, server } => {
             let Some(group) = node.group(&group) else {
                 return;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -41,7 +41,7 @@
 /// A stopping instance serves at least this long, until balancers have seen that it stops: they
 /// ask once a second and need two misses.
 const LINGER: Duration = Duration::from_millis(2_500);
-/// Time kept for giving back the lease at the end of a stop.
+/// Time kept for giving back the slices at the end of a stop.
 const RELEASE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Runs one instance until `stop` ends; `ready_path` is where balancers ask whether it is ready.
@@ -77,7 +77,6 @@
     tasks.spawn(task::follow_revisions(Arc::clone(&node)));
     tasks.spawn(task::follow_servers(Arc::clone(&node)));
     tasks.spawn(task::learn_secret(Arc::clone(&node)));
-    tasks.spawn(task::keep_lease(Arc::clone(&node)));
     tasks.spawn(task::step_ledger(Arc::clone(&node)));
     tasks.spawn(peers::run(Arc::clone(&node)));
     tasks.spawn(watch(Arc::clone(&node)));
@@ -190,14 +189,13 @@
     log::info!("event=stopping sessions={}", node.meter.sessions.get());
     let begun = Instant::now();
     node.is_leaving.store(true, Ordering::Relaxed);
-    lock(&node.keeper).leave(node.now());
     let last = begun + limit.saturating_sub(RELEASE_TIME);
     end_sessions(node, begun + LINGER, last).await;
     // From here on a new caller finds nobody and goes elsewhere at once.
     accepting.abort();
     end_sessions(node, Instant::now(), last + RELEASE_TIME / 2).await;
     log::info!("event=sessions-ended left={}", node.meter.sessions.get());
-    tokio::join!(task::leave_ledger(node), task::release_lease(node));
+    task::leave_ledger(node).await;
 }
 
 /// Waits until no session is left, from `first` to `last`.
--- a/crates/relay/src/task/follower.rs
+++ b/crates/relay/src/task/follower.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Reads all rows with the next call.
+    pub fn restart(&mut self) {
+        self.version = None;
+    }
+
     /// Waits for rows, for no longer than about `wait`; `None` if the call failed or all rows must
     /// be read anew, which the next call does.
     pub async fn next(&mut self, wait: Duration) -> Option<Step<T>> {
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -30,6 +30,7 @@
         lease: Span::from_secs(9),
         renew: Span::from_secs(3),
         read: Span::from_millis(3_000),
+        first_read: Span::from_millis(500),
         read_gap: Span::from_secs(8),
         promise: Span::from_secs(9),
         loan: Span::from_millis(150),
@@ -48,7 +49,9 @@
     loop {
         // Woken or not, the ledger looks what is due.
         let _elapsed = timeout(STEP_EVERY, node.ledger_due.notified()).await;
-        let peers = node.peer_addresses().into_keys().collect();
+        let addresses = lock(&node.ledger).members();
+        let peers = addresses.keys().cloned().collect();
+        node.on_members(addresses);
         let actions = {
             let mut ledger = lock(&node.ledger);
             ledger.on_peers(peers);
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -3,15 +3,11 @@
 mod call;
 mod follower;
 pub mod leader;
-mod lease;
 mod ledger;
 mod revisions;
 mod secret;
 mod servers;
 
-pub use lease::LEASE;
-pub use lease::release as release_lease;
-pub use lease::run as keep_lease;
 pub use ledger::leave as leave_ledger;
 pub use ledger::policy as rate_policy;
 pub use ledger::run as step_ledger;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay against an in-memory group of servers.
 
+mod confirmations;
 mod departures;
 mod duty;
 mod journal;
