Carry small limits by few slices, ask loans where these are held

Change: a limit is carried by one slice for each token of its burst, at least four; while a change of limits moves it to other slices only what is common to both is used for 5 s; loans are asked from holders, from one that has enough.

--- a/crates/account/src/rate/account.rs
+++ b/crates/account/src/rate/account.rs
@@ -32,6 +32,8 @@
 /// What is known of a peer's tokens for the account.
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
+    /// The slices that it holds; `None` if its row was not seen.
+    holds: Option<u64>,
     /// What it could still lend when it last answered; `None` before that.
     spare: Option<Amount>,
     /// When it last answered.
@@ -65,9 +67,9 @@
 
 impl Account {
     /// Opens an account without tokens.
-    pub fn open(now: Time, limit: Limit) -> Self {
+    pub fn open(now: Time, name: &Arc<str>, limit: Limit) -> Self {
         Self {
-            bucket: Bucket::open(now, limit),
+            bucket: Bucket::open(now, name, limit),
             counted: Amount::ZERO,
             window_end: now,
             demand: Amount::ZERO,
@@ -88,6 +90,13 @@
         }
     }
 
+    /// Takes in which slices the peers hold.
+    pub fn set_holders(&mut self, holders: &BTreeMap<Arc<str>, u64>) {
+        for (name, peer) in &mut self.peers {
+            peer.holds = holders.get(name).copied();
+        }
+    }
+
     /// Decides about a request that waits since `since`, or that is new.
     pub fn admit(
         &mut self,
@@ -140,7 +149,7 @@
     pub fn lend(&mut self, now: Time, policy: &Policy, schedule: &Schedule, ask: &Ask) -> Loan {
         self.bucket.settle(now, schedule);
         let limit = self.bucket.limit();
-        let reserve = self.reserve(ask.urgent);
+        let reserve = self.reserve(now, schedule, ask.urgent);
         let spare = self.bucket.own().minus(reserve);
         let mut amount = Amount::ZERO;
         if ask.limit == limit {
@@ -200,7 +209,8 @@
         policy: &Policy,
         schedule: &Schedule,
     ) -> Vec<(Arc<str>, Amount)> {
-        if self.target() == Amount::ZERO && self.open.is_empty() {
+        let is_idle = self.demand.max(self.counted).max(self.waiting) == Amount::ZERO;
+        if is_idle && self.open.is_empty() {
             return Vec::new();
         }
         self.bucket.settle(now, schedule);
@@ -208,7 +218,7 @@
         self.close_asks(now, policy);
         self.hope = self.sum_hope(now, schedule);
         self.hope_at = now;
-        self.asks(now, policy)
+        self.asks(now, policy, schedule)
     }
 
     /// Records an ask that is being sent.
@@ -229,11 +239,18 @@
     }
 
     /// Returns the tokens that this instance wants to have at hand.
-    fn target(&self) -> Amount {
+    fn target(&self, schedule: &Schedule, now: Time) -> Amount {
         let demand = self.demand.max(self.counted);
         if demand == Amount::ZERO {
             return self.waiting;
         }
+        let can_keep = self.bucket.capacity(schedule.held(now)) >= FLOOR;
+        if !can_keep {
+            // What is fetched ahead ends as a loan does, so it is worth it for steady demand only.
+            let ahead = Amount::from_raw(self.demand.raw().saturating_mul(HORIZON));
+            let ahead = if ahead >= FLOOR { ahead } else { Amount::ZERO };
+            return self.waiting.plus(ahead);
+        }
         let ahead = Amount::from_raw(demand.raw().saturating_mul(HORIZON));
         ahead.plus(self.waiting).max(FLOOR)
     }
@@ -242,85 +259,103 @@
     ///
     /// A peer that only fetches ahead gets what is far above the own target. Else instances with
     /// little demand would lend the same tokens to each other without end.
-    fn reserve(&self, urgent: bool) -> Amount {
+    fn reserve(&self, now: Time, schedule: &Schedule, urgent: bool) -> Amount {
         if urgent {
             return self.waiting.plus(self.demand);
         }
-        Amount::from_raw(self.target().raw().saturating_mul(2))
+        Amount::from_raw(self.target(schedule, now).raw().saturating_mul(2))
     }
 
-    fn asks(&self, now: Time, policy: &Policy) -> Vec<(Arc<str>, Amount)> {
-        let target = self.target();
+    fn asks(&self, now: Time, policy: &Policy, schedule: &Schedule) -> Vec<(Arc<str>, Amount)> {
+        let target = self.target(schedule, now);
         let available = self.bucket.available();
         if available >= target {
             return Vec::new();
         }
-        let missing = target.minus(available).raw();
+        let missing = target.minus(available);
         let under_way: u32 = self.peers.values().map(|peer| peer.open).sum();
         let more = policy
             .ask_most
             .saturating_sub(usize::try_from(under_way).unwrap_or(usize::MAX));
-        let mut ready: Vec<_> = self
+        // A peer of which nothing is known may have a full share.
+        let full = Amount::from_tokens(u64::MAX);
+        let mut ready: Vec<(Amount, &Arc<str>)> = self
             .peers
             .iter()
             .filter(|(_, peer)| peer.open == 0 && peer.not_before <= now)
+            .map(|(name, peer)| (self.expected(now, peer).unwrap_or(full), name))
+            .filter(|(expected, _)| *expected > Amount::ZERO)
             .collect();
         if ready.len() > more {
-            // A peer of which nothing is known may have a full share.
-            let full = Amount::from_tokens(u64::MAX);
-            ready.sort_by_key(|(_, peer)| std::cmp::Reverse(peer.spare.unwrap_or(full)));
+            ready.sort_by_key(|(expected, _)| std::cmp::Reverse(*expected));
             ready.truncate(more);
         }
-        if ready.is_empty() {
+        let Some((best, _)) = ready.iter().max() else {
             return Vec::new();
+        };
+        if *best >= missing && *best < full {
+            // Others would only lend tokens that are not used.
+            let best = *best;
+            ready.retain(|(expected, _)| *expected == best);
+            ready.truncate(1);
         }
         // Requests wait already: some peers may have less than the equal part.
-        let factor = if self.is_short() { 2 } else { 1 };
+        let factor = if self.is_short() && ready.len() > 1 {
+            2
+        } else {
+            1
+        };
         let count = u64::try_from(ready.len()).unwrap_or(u64::MAX);
+        let missing = missing.raw();
         let part = missing.saturating_mul(factor).div_ceil(count).min(missing);
         let part = Amount::from_raw(part);
         ready
             .into_iter()
-            .map(|(name, _)| (Arc::clone(name), part))
+            .map(|(_, name)| (Arc::clone(name), part))
             .collect()
     }
 
+    /// Returns what a peer can be expected to lend; `None` if nothing is known of it.
+    fn expected(&self, now: Time, peer: &Peer) -> Option<Amount> {
+        let Some(holds) = peer.holds else {
+            return peer.spare;
+        };
+        let capacity = self.bucket.capacity(holds);
+        let Some(spare) = peer.spare else {
+            return Some(capacity);
+        };
+        let micros = now.since(peer.spare_at).as_micros();
+        let inflow = self.bucket.inflow(holds, micros);
+        Some(spare.plus(inflow).min(capacity))
+    }
+
     /// Returns what will have come until `deadline`, by inflow and by loans.
     fn coming(&self, now: Time, schedule: &Schedule, deadline: Time) -> Amount {
-        let limit = self.bucket.limit();
-        let own = schedule.slices(now);
-        let inflow = Amount::inflow(limit, own, deadline.since(now).as_micros());
+        let held = schedule.held(now);
+        let inflow = self.bucket.inflow(held, deadline.since(now).as_micros());
         if self.peers.is_empty() {
             return inflow;
         }
         let since = deadline.since(self.hope_at).as_micros();
-        let others = SLICES - own;
         let lent = self
             .hope
-            .plus(Amount::inflow(limit, others, since))
-            .min(Amount::capacity(limit, others));
+            .plus(self.bucket.inflow(!held, since))
+            .min(self.bucket.capacity(!held));
         inflow.plus(lent)
     }
 
     /// Returns what the peers that answer can be expected to lend.
     fn sum_hope(&self, now: Time, schedule: &Schedule) -> Amount {
-        let limit = self.bucket.limit();
-        let others = SLICES - schedule.slices(now);
-        let full = Amount::capacity(limit, others);
+        let others = !schedule.held(now);
+        let full = self.bucket.capacity(others);
         let count = u64::try_from(self.peers.len()).unwrap_or(u64::MAX).max(1);
         let even = Amount::from_raw(full.raw() / count);
-        let hope = |peer: &Peer| {
-            let Some(spare) = peer.spare else {
-                return even;
-            };
-            let micros = now.since(peer.spare_at).as_micros();
-            let inflow = Amount::inflow(limit, others, micros).raw() / count;
-            spare.plus(Amount::from_raw(inflow)).min(even)
-        };
         self.peers
             .values()
             .filter(|peer| peer.not_before <= now)
-            .fold(Amount::ZERO, |sum, peer| sum.plus(hope(peer)))
+            .map(|peer| self.expected(now, peer).unwrap_or(even))
+            .fold(Amount::ZERO, Amount::plus)
+            .min(full)
     }
 
     fn close_window(&mut self, now: Time, policy: &Policy) {
--- a/crates/account/src/rate/bucket.rs
+++ b/crates/account/src/rate/bucket.rs
@@ -1,12 +1,15 @@
 //! One account's tokens at one instance.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
+use clock::Span;
 use clock::Time;
 
 use crate::rate::Amount;
 use crate::rate::Limit;
 use crate::rate::Schedule;
+use crate::rate::portion::Portion;
 
 /// Tokens that count until a point in time.
 #[derive(Clone, Copy, Debug)]
@@ -21,7 +24,12 @@
 /// bounds the grants of every window by `rate * time + burst`.
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
+    /// The account's name, which decides which slices carry the limit.
+    account: Arc<str>,
     limit: Limit,
+    portion: Portion,
+    /// What carries the limit later on, once other slices carried an earlier one.
+    next: Option<(Portion, Time)>,
     /// Own tokens; `tokens + lent_sum` never exceeds the capacity of the slices in use.
     tokens: Amount,
     /// `tokens` counts the inflow up to this point.
@@ -35,9 +43,12 @@
 
 impl Bucket {
     /// Opens an empty bucket.
-    pub fn open(now: Time, limit: Limit) -> Self {
+    pub fn open(now: Time, account: &Arc<str>, limit: Limit) -> Self {
         Self {
+            account: Arc::clone(account),
             limit,
+            portion: Portion::of(account, limit),
+            next: None,
             tokens: Amount::ZERO,
             at: now,
             lent: VecDeque::new(),
@@ -52,11 +63,21 @@
     }
 
     /// Puts a limit in force; received loans end, since they were given under the old one.
-    pub fn set_limit(&mut self, now: Time, schedule: &Schedule, limit: Limit) {
+    ///
+    /// Where other slices carry it than before, only what is common to both is used for `spread`:
+    /// other instances may apply it that much later, and each slice must not count for both.
+    pub fn set_limit(&mut self, now: Time, schedule: &Schedule, limit: Limit, spread: Span) {
         self.settle(now, schedule);
         if limit == self.limit {
             return;
         }
+        let next = Portion::of(&self.account, limit);
+        if self.next.is_none() && next.has_slices_of(&self.portion) {
+            self.portion = next;
+        } else {
+            self.portion = self.portion.common(&next);
+            self.next = Some((next, now + spread));
+        }
         self.limit = limit;
         self.borrowed.clear();
         self.settle(now, schedule);
@@ -119,7 +140,7 @@
     /// Puts a received loan in; what exceeds the own capacity is usable before `until` only.
     pub fn receive(&mut self, now: Time, schedule: &Schedule, amount: Amount, until: Time) {
         self.settle(now, schedule);
-        let part = amount.min(self.room(schedule.slices(self.at)).minus(self.tokens));
+        let part = amount.min(self.room(schedule.held(self.at)).minus(self.tokens));
         self.tokens = self.tokens.plus(part);
         let rest = amount.minus(part);
         if rest > Amount::ZERO && until > self.at {
@@ -130,12 +151,33 @@
         }
     }
 
+    /// Returns what the slices in `held` can hold.
+    pub fn capacity(&self, held: u64) -> Amount {
+        self.portion.capacity(held)
+    }
+
+    /// Returns what the slices in `held` receive in `micros` microseconds.
+    pub fn inflow(&self, held: u64, micros: u64) -> Amount {
+        self.portion.inflow(held, micros)
+    }
+
     /// Fills new slices at once: the fault of `Policy::start_full`.
-    pub fn credit(&mut self, slices: u32) {
-        self.tokens = self.tokens.plus(Amount::capacity(self.limit, slices));
+    pub fn credit(&mut self, slices: u64) {
+        self.tokens = self.tokens.plus(self.capacity(slices));
     }
 
     fn fill(&mut self, end: Time, schedule: &Schedule) {
+        if let Some((next, at)) = self.next
+            && at <= end
+        {
+            self.fill_evenly(at, schedule);
+            self.portion = next;
+            self.next = None;
+        }
+        self.fill_evenly(end, schedule);
+    }
+
+    fn fill_evenly(&mut self, end: Time, schedule: &Schedule) {
         self.step(end.min(schedule.full_until), schedule.full);
         if end >= schedule.full_until {
             self.step(end.min(schedule.pinned_until), schedule.pinned);
@@ -145,14 +187,14 @@
         }
     }
 
-    fn step(&mut self, end: Time, slices: u32) {
+    fn step(&mut self, end: Time, held: u64) {
         let micros = end.since(self.at).as_micros();
-        let inflow = Amount::inflow(self.limit, slices, micros);
+        let inflow = self.inflow(held, micros);
         self.at = self.at.max(end);
-        self.tokens = self.tokens.plus(inflow).min(self.room(slices));
+        self.tokens = self.tokens.plus(inflow).min(self.room(held));
     }
 
-    fn room(&self, slices: u32) -> Amount {
-        Amount::capacity(self.limit, slices).minus(self.lent_sum)
+    fn room(&self, held: u64) -> Amount {
+        self.capacity(held).minus(self.lent_sum)
     }
 }
--- a/crates/account/src/rate/ledger.rs
+++ b/crates/account/src/rate/ledger.rs
@@ -36,6 +36,8 @@
     /// All buckets are settled before this changes.
     schedule: Schedule,
     peers: Vec<Arc<str>>,
+    /// Which slices the other members hold, by name.
+    holders: BTreeMap<Arc<str>, u64>,
     next_ask: u64,
     urgent: bool,
 }
@@ -63,6 +65,7 @@
             share: Share::open(me, address, policy),
             schedule: Schedule::default(),
             peers: Vec::new(),
+            holders: BTreeMap::new(),
             next_ask: 0,
             urgent: false,
         }
@@ -78,12 +81,15 @@
         self.revision = revision;
         for (name, account) in &mut self.accounts {
             let limit = limits.get(name).copied().unwrap_or_default();
-            account.bucket.set_limit(now, &self.schedule, limit);
+            account
+                .bucket
+                .set_limit(now, &self.schedule, limit, self.policy.spread);
         }
         for (name, limit) in limits {
             self.accounts.entry(Arc::clone(name)).or_insert_with(|| {
-                let mut account = Account::open(now, *limit);
+                let mut account = Account::open(now, name, *limit);
                 account.set_peers(&self.peers);
+                account.set_holders(&self.holders);
                 account
             });
         }
@@ -106,6 +112,7 @@
         }
         for account in self.accounts.values_mut() {
             account.set_peers(&peers);
+            account.set_holders(&self.holders);
         }
         self.peers = peers;
     }
@@ -174,6 +181,7 @@
                     && let Some(account) = self.accounts.get_mut(&loan.account)
                 {
                     account.on_loan(now, &self.policy, &self.schedule, from, &loan);
+                    self.urgent |= account.is_short();
                 }
                 None
             }
@@ -203,6 +211,13 @@
     ) -> Vec<Action> {
         let actions = self.share.on_read(now, id, result);
         self.reschedule(now);
+        let holders = self.share.holders();
+        if holders != self.holders {
+            for account in self.accounts.values_mut() {
+                account.set_holders(&holders);
+            }
+            self.holders = holders;
+        }
         actions
     }
 
@@ -248,7 +263,7 @@
         for account in self.accounts.values_mut() {
             account.bucket.settle(now, &self.schedule);
         }
-        let gained = next.full.saturating_sub(self.schedule.full);
+        let gained = next.full & !self.schedule.full;
         self.schedule = next;
         for account in self.accounts.values_mut() {
             if self.policy.start_full {
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -7,6 +7,7 @@
 mod limit;
 mod message;
 mod policy;
+mod portion;
 mod quota;
 mod schedule;
 mod slices;
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -49,6 +49,8 @@
     pub empty_doublings: u32,
     /// The most peers that are asked at a time; those with the most to spare come first.
     pub ask_most: usize,
+    /// Longest time until all instances apply a change of the limits or grant nothing more.
+    pub spread: Span,
     /// A fault for tests: a repeated loan is applied again.
     pub repeat_loans: bool,
     /// A fault for tests: takeovers need no consent.
@@ -83,6 +85,7 @@
             empty: Span::from_millis(10),
             empty_doublings: 0,
             ask_most: usize::MAX,
+            spread: Span::from_secs(5),
             repeat_loans: false,
             skip_consent: false,
             start_full: false,
--- a/crates/account/src/rate/schedule.rs
+++ b/crates/account/src/rate/schedule.rs
@@ -1,16 +1,16 @@
-//! How many slices an instance may use, and until when.
+//! Which slices an instance may use, and until when.
 
 use clock::Time;
 
-/// The slices in use by this instance as a function of time.
+/// The slices in use by this instance as a function of time, as masks.
 ///
-/// Invariant: `pinned <= full` and `full_until <= pinned_until`.
+/// Invariant: `pinned` is part of `full`, and `full_until <= pinned_until`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Schedule {
     /// Slices usable before `full_until`.
-    pub full: u32,
+    pub full: u64,
     /// Slices usable from `full_until` until `pinned_until`.
-    pub pinned: u32,
+    pub pinned: u64,
     /// End of the short lease.
     pub full_until: Time,
     /// End of the long lease.
@@ -19,7 +19,7 @@
 
 impl Schedule {
     /// Returns the slices in use at `now`.
-    pub fn slices(&self, now: Time) -> u32 {
+    pub fn held(&self, now: Time) -> u64 {
         if now < self.full_until {
             self.full
         } else if now < self.pinned_until {
@@ -28,4 +28,9 @@
             0
         }
     }
+
+    /// Returns how many slices are in use at `now`.
+    pub fn slices(&self, now: Time) -> u32 {
+        self.held(now).count_ones()
+    }
 }
--- a/crates/account/src/rate/slices/share.rs
+++ b/crates/account/src/rate/slices/share.rs
@@ -92,6 +92,13 @@
         members
     }
 
+    /// Returns which slices the other live members hold.
+    pub fn holders(&self) -> BTreeMap<Arc<str>, u64> {
+        let mut holders = self.view.holders(&self.policy);
+        holders.remove(&self.me.name);
+        holders
+    }
+
     /// Returns when the rows were last read.
     pub fn heard(&self) -> Option<Time> {
         self.view.read_at()
--- a/crates/account/src/rate/slices/tenure.rs
+++ b/crates/account/src/rate/slices/tenure.rs
@@ -124,8 +124,8 @@
             full_until = Time::NEVER;
         }
         Schedule {
-            full: full.count_ones(),
-            pinned: pinned.count_ones(),
+            full,
+            pinned,
             full_until,
             pinned_until: self.hold_until.max(full_until),
         }
--- a/crates/account/src/rate/slices/view.rs
+++ b/crates/account/src/rate/slices/view.rs
@@ -42,13 +42,29 @@
     }
 
     /// Returns the members whose leases had not lapsed at the last read, and where they listen.
+    pub fn live(&self, policy: &Policy) -> BTreeMap<Arc<str>, SocketAddr> {
+        self.newest(policy)
+            .into_iter()
+            .map(|(name, seen)| (Arc::clone(name), seen.row.address))
+            .collect()
+    }
+
+    /// Returns which slices the live members hold.
+    pub fn holders(&self, policy: &Policy) -> BTreeMap<Arc<str>, u64> {
+        self.newest(policy)
+            .into_iter()
+            .map(|(name, seen)| (Arc::clone(name), seen.row.slices()))
+            .collect()
+    }
+
+    /// Returns the rows whose leases had not lapsed at the last read, the newest of each name.
     ///
     /// While the table does not answer nobody can renew, so nobody lapses either.
-    pub fn live(&self, policy: &Policy) -> BTreeMap<Arc<str>, SocketAddr> {
+    fn newest(&self, policy: &Policy) -> BTreeMap<&Arc<str>, &Seen> {
+        let mut newest: BTreeMap<&Arc<str>, &Seen> = BTreeMap::new();
         let Some(read_at) = self.read_at else {
-            return BTreeMap::new();
+            return newest;
         };
-        let mut newest: BTreeMap<&Arc<str>, &Seen> = BTreeMap::new();
         let live = self
             .rows
             .values()
@@ -60,9 +76,6 @@
             }
         }
         newest
-            .into_iter()
-            .map(|(name, seen)| (Arc::clone(name), seen.row.address))
-            .collect()
     }
 
     /// Takes in a read of all rows that ended at `now`.
--- a/crates/account/tests/rate/random.rs
+++ b/crates/account/tests/rate/random.rs
@@ -9,28 +9,34 @@
 use crate::fleet::Options;
 use crate::fleet::World;
 
-/// The limit at first; its rate is low, so that what exceeds the burst stands out.
-const LIMIT: Limit = Limit {
-    rate: 200,
-    burst: 200,
-};
-
 /// Rounds of a run; each brings one fault.
 const ROUNDS: u32 = 30;
 
+/// Limits between which a run changes, the first one to begin with; rates are low, so that what
+/// exceeds the burst stands out.
+const LIMITS: [(u64, u64); 3] = [(200, 200), (300, 40), (100, 200)];
+
+/// Limits that few slices carry, and not the same ones.
+const SMALL: [(u64, u64); 3] = [(60, 9), (90, 33), (40, 5)];
+
 fn run(seed: u64, change: impl FnOnce(&mut Policy)) -> World {
+    run_between(seed, LIMITS, change)
+}
+
+fn run_between(seed: u64, limits: [(u64, u64); 3], change: impl FnOnce(&mut Policy)) -> World {
     let instances = 3 + usize::try_from(seed * 5 % 14).expect("small");
     let mut options = Options::quick(seed, instances);
     options.lost = 30;
     options.repeated = 300;
-    options.limit = LIMIT;
+    let (rate, burst) = limits[0];
+    options.limit = Limit { rate, burst };
     change(&mut options.policy);
     let mut world = World::open(options);
     world.run(Span::from_secs(2), 200, |rng| {
         rng.random_range(0..instances)
     });
     for _ in 0..ROUNDS {
-        fault(&mut world, instances);
+        fault(&mut world, instances, limits);
         let favoured = world.rng.random_range(0..instances);
         // Buckets fill up, then requests come at one instance or at all.
         let most = [200, 4_000][world.rng.random_range(0..2)];
@@ -45,7 +51,7 @@
     world
 }
 
-fn fault(world: &mut World, instances: usize) {
+fn fault(world: &mut World, instances: usize, limits: [(u64, u64); 3]) {
     let index = world.rng.random_range(0..instances);
     match world.rng.random_range(0..13) {
         0 => world.kill(index),
@@ -65,8 +71,7 @@
             world.start(index);
         }
         _ => {
-            let limit = [(200, 200), (300, 40), (100, 200)][world.rng.random_range(0..3)];
-            let (rate, burst) = limit;
+            let (rate, burst) = limits[world.rng.random_range(0..3)];
             world.set_limit(Limit { rate, burst }, Span::from_millis(300));
         }
     }
@@ -98,6 +103,23 @@
     );
 }
 
+#[test]
+fn the_bound_holds_where_few_slices_carry_a_limit() {
+    let mut worst = 0;
+    for seed in 1..=4 {
+        let world = run_between(seed, SMALL, |_| {});
+        assert_eq!(world.bound.broken, None, "seed {seed}");
+        assert!(
+            world.granted > 500,
+            "the run with seed {seed} granted only {}",
+            world.granted
+        );
+        worst = worst.max(world.bound.worst);
+    }
+    // A run came near the bound, so an excess would have shown.
+    assert!(worst >= 80, "worst={worst}%");
+}
+
 // Each rule switched off is found by the same runs.
 #[test_case(|policy| policy.repeat_loans = true; "a loan is applied twice")]
 #[test_case(|policy| policy.skip_consent = true; "a takeover needs no consent")]
@@ -107,3 +129,29 @@
     let broken = (1..=12).find_map(|seed| run(seed, fault).bound.broken);
     assert!(broken.is_some(), "no run found the fault");
 }
+
+/// Changes a limit so that other slices carry it, while instances apply the change at any time
+/// within three seconds.
+fn change_of_slices(seed: u64, spread: Span) -> World {
+    let mut options = Options::quick(seed, 8);
+    let limit = |burst| Limit { rate: 60, burst };
+    options.limit = limit(16);
+    options.policy.spread = spread;
+    let mut world = World::open(options);
+    world.run(Span::from_secs(2), 0, |_| 0);
+    for burst in [4, 16, 4, 64] {
+        world.set_limit(limit(burst), Span::from_secs(3));
+        world.run(Span::from_secs(6), 200, |rng| rng.random_range(0..8));
+    }
+    world
+}
+
+#[test]
+fn the_bound_holds_while_other_slices_take_over_a_limit() {
+    for seed in 1..=8 {
+        let world = change_of_slices(seed, Span::from_secs(5));
+        assert_eq!(world.bound.broken, None, "seed {seed}");
+    }
+    let at_once = (1..=8).find_map(|seed| change_of_slices(seed, Span::ZERO).bound.broken);
+    assert!(at_once.is_some(), "no run found a change at once");
+}
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -146,8 +146,15 @@
 async fn take(node: &Arc<Node>, address: SocketAddr, datagram: Datagram) {
     match datagram.content {
         Content::Rate(message) => {
-            let sends = lock(&node.ledger).on_peer(node.now(), &datagram.from, message);
+            let (sends, is_urgent) = {
+                let mut ledger = lock(&node.ledger);
+                let sends = ledger.on_peer(node.now(), &datagram.from, message);
+                (sends, ledger.is_urgent())
+            };
             node.tokens_came.notify_waiters();
+            if is_urgent {
+                node.ledger_due.notify_one();
+            }
             for send in sends {
                 node.peers
                     .send(node, address, Content::Rate(send.message))
