Divide connections within the total, report loads when they change, read the rows of groups at once

Change: shares have an even part and one by load, and add up to the total at most; a load is reported when it changed by a third, else every five seconds; rows of groups are in one table and read once at the start.

--- a/crates/relay/src/failover/checkup.rs
+++ b/crates/relay/src/failover/checkup.rs
@@ -9,17 +9,12 @@
 /// When to look whether the holder of a group's duty died at work.
 ///
 /// It may have left replicas paused, which shows by itself only once commits get stuck.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Checkup {
     due: Option<Time>,
 }
 
 impl Checkup {
-    /// Opens a checkup that is due at once: a holder may have died before this instance started.
-    pub fn open(now: Time) -> Self {
-        Self { due: Some(now) }
-    }
-
     /// Notes that a replacement began or may still be under way.
     pub fn on_replacement(&mut self, now: Time) {
         self.due = Some(now + AFTER);
--- a/crates/relay/src/failover/departed.rs
+++ b/crates/relay/src/failover/departed.rs
@@ -9,6 +9,8 @@
 use tokio::time::timeout;
 
 use crate::failover::Departures;
+use crate::failover::Duty;
+use crate::failover::Phase;
 use crate::failover::command;
 use crate::failover::departures::Departed;
 use crate::failover::row;
@@ -39,22 +41,33 @@
     }
 }
 
+/// Learns from the rows that earlier instances left which servers have departed, and whether one
+/// died while it replaced the leader.
+async fn learn(node: &Node, group: &Group) {
+    let Some(found) = row::found(node).await else {
+        return;
+    };
+    let content = Departures::content(&group.name, found.get(&Departures::key(&group.name)));
+    lock(&group.departures).on_read(&content);
+    group.recall(content);
+    let duty = found.get(&Duty::key(&group.name)).and_then(Duty::read);
+    if duty.is_some_and(|duty| duty.phase == Phase::Working) {
+        lock(&group.checkup).on_replacement(node.now());
+    }
+}
+
 /// Brings the row in line; what fails is tried again at the next look.
 async fn record(node: &Node, group: &Group, departed: &Departed) {
-    let is_first = !lock(&group.departures).is_read();
-    if !is_first {
-        let pause = rand::rng().random_range(0..SPREAD_MS);
-        sleep(Duration::from_millis(pause)).await;
+    if !lock(&group.departures).is_read() {
+        learn(node, group).await;
+        return;
     }
+    let pause = rand::rng().random_range(0..SPREAD_MS);
+    sleep(Duration::from_millis(pause)).await;
     let Some(before) = row::read(node, group, &Departures::key(&group.name)).await else {
         return;
     };
     let content = Departures::content(&group.name, before.as_ref());
-    if is_first {
-        lock(&group.departures).on_read(&content);
-        group.recall(content);
-        return;
-    }
     let Some(next) = lock(&group.departures).change(&content, departed) else {
         lock(&group.departures).on_written(departed);
         return;
--- a/crates/relay/src/failover/departures.rs
+++ b/crates/relay/src/failover/departures.rs
@@ -11,7 +11,7 @@
 use crate::settings::Server;
 
 /// The prefix of the rows.
-const PREFIX: &str = "departed/";
+const PREFIX: &str = "group/departed/";
 
 /// Servers whose entries vanished after they had said that they leave, with their last entries.
 pub type Departed = BTreeMap<Arc<str>, Server>;
--- a/crates/relay/src/failover/duty.rs
+++ b/crates/relay/src/failover/duty.rs
@@ -16,7 +16,7 @@
 use crate::node::lock;
 
 /// The prefix of the rows.
-const PREFIX: &str = "duty/";
+const PREFIX: &str = "group/duty/";
 /// A holder that has not changed its row for this long while at work is taken to be dead; a
 /// replacement takes about a second, and a long one renews the row.
 const ABANDONED: Span = Span::from_millis(3_500);
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -20,6 +20,7 @@
 pub use duty::Duty;
 pub use duty::Phase;
 pub use look::look;
+pub use row::Found;
 pub use survey::Choice;
 pub use survey::Survey;
 pub use suspicion::Reason;
--- a/crates/relay/src/failover/row.rs
+++ b/crates/relay/src/failover/row.rs
@@ -1,5 +1,7 @@
-//! Reads of single rows of the table.
+//! Rows of groups in the table.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use store::Row;
@@ -8,6 +10,8 @@
 use crate::group::Group;
 use crate::node::Node;
 
+/// The prefix of the rows of groups.
+const PREFIX: &str = "group/";
 /// Longest wait for a call to the table.
 pub const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -24,3 +28,27 @@
         }
     }
 }
+
+/// The rows of all groups as an instance found them at its start, by key.
+pub type Found = BTreeMap<Arc<str>, Row>;
+
+/// Returns the rows of all groups as this instance found them, reading them the first time.
+pub async fn found(node: &Node) -> Option<&Found> {
+    let read = node.found.get_or_try_init(async || {
+        let list = node.parts.table.list(PREFIX);
+        match timeout(TABLE_TIMEOUT, list).await {
+            Ok(Ok(rows)) => Ok(rows
+                .into_iter()
+                .map(|row| (Arc::clone(&row.key), row))
+                .collect()),
+            failed => Err(format!("{failed:?}")),
+        }
+    });
+    match read.await {
+        Ok(found) => Some(found),
+        Err(why) => {
+            log::info!("event=group-rows-unread why=\"{why}\"");
+            None
+        }
+    }
+}
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -99,7 +99,7 @@
             vanished: Mutex::default(),
             changed: Notify::new(),
             suspicion: Mutex::default(),
-            checkup: Mutex::new(Checkup::open(clock.now())),
+            checkup: Mutex::default(),
             departures: Mutex::default(),
             is_led_elsewhere: AtomicBool::new(false),
             is_in_failover: AtomicBool::new(false),
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -21,8 +21,10 @@
 use clock::Span;
 use clock::Time;
 use tokio::sync::Notify;
+use tokio::sync::OnceCell;
 
 use crate::failover::Duties;
+use crate::failover::Found;
 use crate::group::Group;
 use crate::message::Code;
 use crate::message::Failure;
@@ -77,6 +79,8 @@
     entries: Mutex<BTreeMap<Arc<str>, Server>>,
     /// Messages to other instances.
     pub peers: Peers,
+    /// The rows of groups as earlier instances left them.
+    pub found: OnceCell<Found>,
     /// What is known of the duty to replace leaders.
     pub duties: Duties,
     /// How loaded this instance is.
@@ -121,6 +125,7 @@
             groups: Mutex::default(),
             entries: Mutex::default(),
             peers,
+            found: OnceCell::new(),
             duties: Duties::default(),
             load: Mutex::default(),
             shares: Mutex::default(),
@@ -251,15 +256,18 @@
         }
     }
 
-    /// Tells the other instances how loaded this one is, and divides the connections anew.
+    /// Tells the other instances how loaded this one is, if they should hear of it, and divides the
+    /// connections anew.
     pub async fn report_load(&self) {
         let load = {
             let mut load = lock(&self.load);
             load.step(self.meter.statements.get());
-            load.per_second()
+            load.report()
         };
-        for address in self.peer_addresses().into_values() {
-            self.peers.send(self, address, Content::Load(load)).await;
+        if let Some(load) = load {
+            for address in self.peer_addresses().into_values() {
+                self.peers.send(self, address, Content::Load(load)).await;
+            }
         }
         self.share_connections();
     }
--- a/crates/relay/src/node/shares.rs
+++ b/crates/relay/src/node/shares.rs
@@ -6,13 +6,15 @@
 use clock::Span;
 use clock::Time;
 
-/// A report older than this counts as missing; reports come every second and may be lost.
-const REPORT_AGE: Span = Span::from_secs(4);
-/// The part of the connections, in percent, that is divided evenly, so that an instance whose load
-/// has just come finds some.
-const EVEN_PERCENT: u64 = 30;
+/// A report older than this counts as missing; reports come every five seconds and may be lost.
+const REPORT_AGE: Span = Span::from_secs(11);
+/// One part in this many of the connections is divided evenly, so that an instance whose load has
+/// just come finds some; the rest is divided by load.
+const EVEN_DIVISOR: u64 = 2;
 /// The fewest connections to a server with which an instance can serve.
-const SHARE_MIN: u64 = 2;
+const EVEN_MIN: u64 = 1;
+/// Connections with which an instance without load is ready for some.
+const EVEN_MAX: u64 = 2;
 
 /// How loaded the other instances say they are.
 #[derive(Clone, Debug, Default)]
@@ -30,8 +32,8 @@
     /// Returns how many of `total` connections an instance with load `own` may hold, beside the
     /// live instances in `others`.
     ///
-    /// Instances may see different reports; then the sum can be a little above the total, and the
-    /// server refuses what is too much.
+    /// The shares of all instances together are at most the total, if they see the same reports and
+    /// are no more than there are connections; else the server refuses what is too much.
     pub fn share(&mut self, now: Time, own: u64, others: &[Arc<str>], total: usize) -> usize {
         self.reports.retain(|_, (_, at)| now < *at + REPORT_AGE);
         let reported: Vec<u64> = others
@@ -46,14 +48,12 @@
         let sum = known + missing * mean;
         let total = total as u64;
         let instances = others.len() as u64 + 1;
+        let even = (total / EVEN_DIVISOR / instances).clamp(EVEN_MIN, EVEN_MAX);
+        let by_load = total.saturating_sub(even * instances);
         let share = match sum {
             0 => total / instances,
-            sum => {
-                let weight = EVEN_PERCENT * sum + (100 - EVEN_PERCENT) * own * instances;
-                total * weight / (100 * instances * sum)
-            }
+            sum => even + by_load * own / sum,
         };
-        let share = share.max(SHARE_MIN);
-        usize::try_from(share).unwrap_or(usize::MAX)
+        usize::try_from(share.max(EVEN_MIN)).unwrap_or(usize::MAX)
     }
 }
