Lend whole tokens, let leases grow with the fleet, nine electors a row

Cause: store calls and bytes of a large fleet: rows named all 78 members as electors and were read by all every three seconds; fractions of tokens ended unused at borrowers. Change: a row names at most nine electors and its own lease, which grows up to twice beyond 32 members with the periods that go with it; less than a token is lent only to whoever asked for less; entries of servers are taken together for 12 ms an instance.

--- a/crates/account/src/rate/account.rs
+++ b/crates/account/src/rate/account.rs
@@ -1,6 +1,9 @@
 //! One account at one instance: its bucket, its demand and its open asks.
 
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 
 use clock::Span;
@@ -63,6 +66,8 @@
     hope_at: Time,
     peers: BTreeMap<Arc<str>, Peer>,
     open: BTreeMap<u64, Open>,
+    /// The number of the last ask.
+    asked: u64,
 }
 
 impl Account {
@@ -79,6 +84,7 @@
             hope_at: now,
             peers: BTreeMap::new(),
             open: BTreeMap::new(),
+            asked: 0,
         }
     }
 
@@ -155,6 +161,10 @@
         if ask.limit == limit {
             amount = spare.min(ask.amount);
         }
+        // Less than a token, and less than was asked for, would end unused at the borrower.
+        if amount < ask.amount && amount < FLOOR {
+            amount = Amount::ZERO;
+        }
         if amount > Amount::ZERO {
             self.bucket.lend(amount, now + policy.loan);
         }
@@ -192,6 +202,12 @@
                 let doublings = peer.empties.min(policy.empty_doublings);
                 let pause = policy.empty.as_micros() << doublings;
                 peer.empties = peer.empties.saturating_add(1);
+                let refill = peer.holds.map_or(pause, |holds| {
+                    let missing = FLOOR.minus(loan.spare);
+                    self.bucket.time_to(holds, missing).as_micros()
+                });
+                // It is asked again once it has a token, at the latest.
+                let pause = pause.min(refill.max(policy.empty.as_micros()));
                 peer.not_before = now + Span::from_micros(pause);
             } else {
                 peer.empties = 0;
@@ -228,6 +244,7 @@
             started: now,
         };
         self.open.insert(id, open);
+        self.asked = id;
         if let Some(peer) = self.peers.get_mut(peer) {
             peer.open += 1;
         }
@@ -286,17 +303,14 @@
             .map(|(name, peer)| (self.expected(now, peer).unwrap_or(full), name))
             .filter(|(expected, _)| *expected > Amount::ZERO)
             .collect();
-        if ready.len() > more {
-            ready.sort_by_key(|(expected, _)| std::cmp::Reverse(*expected));
-            ready.truncate(more);
-        }
-        let Some((best, _)) = ready.iter().max() else {
+        // Among equal ones each ask begins with another, so that not all instances ask the same.
+        ready.sort_by_key(|(expected, name)| std::cmp::Reverse((*expected, self.rank(name))));
+        ready.truncate(more);
+        let Some((best, _)) = ready.first() else {
             return Vec::new();
         };
-        if *best >= missing && *best < full {
-            // Others would only lend tokens that are not used.
-            let best = *best;
-            ready.retain(|(expected, _)| *expected == best);
+        // Others would only lend tokens that are not used.
+        if missing <= FLOOR || (*best >= missing && *best < full) {
             ready.truncate(1);
         }
         // Requests wait already: some peers may have less than the equal part.
@@ -315,6 +329,13 @@
             .collect()
     }
 
+    /// Orders peers that can be expected to lend the same; the order changes with each ask.
+    fn rank(&self, peer: &str) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (peer, self.asked).hash(&mut hasher);
+        hasher.finish()
+    }
+
     /// Returns what a peer can be expected to lend; `None` if nothing is known of it.
     fn expected(&self, now: Time, peer: &Peer) -> Option<Amount> {
         let Some(holds) = peer.holds else {
@@ -381,11 +402,6 @@
     }
 
     fn refill_time(&self, missing: Amount) -> Span {
-        let limit = self.bucket.limit();
-        let per_micro = Amount::inflow(limit, SLICES, 1).raw();
-        if per_micro == 0 {
-            return Span::from_secs(60);
-        }
-        Span::from_micros(missing.raw().div_ceil(per_micro))
+        self.bucket.time_to(u64::MAX, missing)
     }
 }
--- a/crates/account/src/rate/bucket.rs
+++ b/crates/account/src/rate/bucket.rs
@@ -161,6 +161,15 @@
         self.portion.inflow(held, micros)
     }
 
+    /// Returns how long the slices in `held` take to receive an amount.
+    pub fn time_to(&self, held: u64, amount: Amount) -> Span {
+        let each = self.inflow(held, 1).raw();
+        if each == 0 {
+            return Span::from_secs(60);
+        }
+        Span::from_micros(amount.raw().div_ceil(each))
+    }
+
     /// Fills new slices at once: the fault of `Policy::start_full`.
     pub fn credit(&mut self, slices: u64) {
         self.tokens = self.tokens.plus(self.capacity(slices));
--- a/crates/account/src/rate/slices/plan.rs
+++ b/crates/account/src/rate/slices/plan.rs
@@ -1,6 +1,9 @@
 //! Which slices a member should hold, as a pure function of the rows.
 
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 
 use clock::Time;
@@ -11,6 +14,9 @@
 use crate::rate::SLICES;
 use crate::rate::slices::view::Seen;
 
+/// The most electors of a row; a majority of them is five.
+const ELECTORS_MOST: usize = 9;
+
 /// What is done to the row of a member that lost its slices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Takeover {
@@ -41,7 +47,7 @@
     others: &BTreeMap<Arc<str>, Seen>,
     takeovers: BTreeMap<Arc<str>, Takeover>,
 ) -> Plan {
-    let mut electors = vec![me.clone()];
+    let mut members = vec![me.clone()];
     let mut used = 0_u64;
     let mut locked = 0_u32;
     for (key, seen) in others {
@@ -53,13 +59,13 @@
         assert!(used & kept == 0, "a slice stands in two rows");
         used |= kept;
         if !seen.lapsed(now, policy) {
-            electors.push(seen.row.member.clone());
+            members.push(seen.row.member.clone());
         } else if kept != 0 {
             locked += seen.row.pinned.count_ones();
         }
     }
-    electors.sort_unstable();
-    let target = target(me, &electors, SLICES - locked);
+    members.sort_unstable();
+    let target = target(me, &members, SLICES - locked);
     let mine = own.map_or(0, Row::slices);
     assert!(used & mine == 0, "a slice stands in two rows");
     let free = !used & !mine;
@@ -73,11 +79,28 @@
     Plan {
         pinned,
         mobile: slices & !pinned,
-        electors,
+        electors: electors(me, members),
         takeovers,
     }
 }
 
+/// Returns the members that must agree before slices of `me` are taken over, `me` among them.
+///
+/// In a large fleet they are some of the members, so that rows stay small; who they are changes
+/// little when members come and go.
+fn electors(me: &Member, mut members: Vec<Member>) -> Vec<Member> {
+    if members.len() > ELECTORS_MOST {
+        members.sort_by_cached_key(|member| {
+            let mut hasher = DefaultHasher::new();
+            (&me.name, member).hash(&mut hasher);
+            (member != me, hasher.finish())
+        });
+        members.truncate(ELECTORS_MOST);
+        members.sort_unstable();
+    }
+    members
+}
+
 /// Returns how many of `total` slices a member should hold.
 fn target(me: &Member, members: &[Member], total: u32) -> u32 {
     // CAST: a fleet has far fewer than 2^32 members.
--- a/crates/account/src/rate/slices/row.rs
+++ b/crates/account/src/rate/slices/row.rs
@@ -13,7 +13,7 @@
 pub const EPOCH_KEY: &str = "share/epoch";
 
 /// One life of an instance; a restarted instance is another member.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// The instance's name.
     pub name: Arc<str>,
@@ -41,6 +41,8 @@
     pub serial: u64,
     /// Set by a taker: the holder has not renewed the row since.
     pub lapsed: bool,
+    /// How long the holder uses its mobile slices after it began to write the row, in milliseconds.
+    pub lease_ms: u64,
     /// Slices that are held for the long lease.
     pub pinned: u64,
     /// Slices that are held for the short lease.
--- a/crates/account/src/rate/slices/share.rs
+++ b/crates/account/src/rate/slices/share.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use clock::Span;
 use clock::Time;
 use store::Error;
 use store::Outcome;
@@ -128,7 +129,7 @@
             let every = if is_alone {
                 self.policy.first_read
             } else {
-                self.policy.read
+                self.for_fleet(self.policy.read)
             };
             self.next_read = now + every;
             let id = self.begin(now, false);
@@ -138,7 +139,7 @@
             actions.extend(self.hold(now));
         }
         if now >= self.next_take && self.view.is_recent(now, &self.policy) {
-            self.next_take = now + self.policy.read;
+            self.next_take = now + self.for_fleet(self.policy.read);
             actions.extend(self.take(now));
         }
         actions
@@ -238,7 +239,7 @@
 
     /// Asks the electors for promises when the row was not renewed for a while.
     fn hold(&mut self, now: Time) -> Vec<Action> {
-        let late = self.renewed + self.policy.renew + self.policy.ask_promise;
+        let late = self.renewed + self.for_fleet(self.policy.renew) + self.policy.ask_promise;
         let Some(known) = self.tenure.known.clone().filter(|_| now >= late) else {
             return Vec::new();
         };
@@ -299,7 +300,7 @@
                 && row.mobile == plan.mobile
                 && row.electors == plan.electors
         });
-        let due = now >= self.renewed + self.policy.renew;
+        let due = now >= self.renewed + self.for_fleet(self.policy.renew);
         if same && !due && plan.takeovers.is_empty() {
             return None;
         }
@@ -334,6 +335,7 @@
             address: self.address,
             serial: self.tenure.next_serial(),
             lapsed: false,
+            lease_ms: self.for_fleet(self.policy.lease).as_millis(),
             pinned: plan.pinned,
             mobile: plan.mobile,
             electors: plan.electors,
@@ -369,6 +371,10 @@
         }
     }
 
+    fn for_fleet(&self, span: Span) -> Span {
+        self.policy.for_fleet(span, self.view.rows.len())
+    }
+
     fn begin(&mut self, now: Time, removal: bool) -> u64 {
         let id = self.requests.next_id();
         self.call = Some(Call {
--- a/crates/account/src/rate/slices/tenure.rs
+++ b/crates/account/src/rate/slices/tenure.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use clock::Span;
 use clock::Time;
 
 use crate::rate::Member;
@@ -79,8 +80,9 @@
     /// Records that the last write tried, begun at `started`, took effect.
     pub fn on_committed(&mut self, now: Time, policy: &Policy, started: Time, version: u64) {
         let row = self.doubt.pop().expect("a committed write was tried");
+        let lease = Span::from_millis(row.lease_ms);
         self.adopt(now, policy, Some(Known { version, row }));
-        self.table_until = self.table_until.max(started + policy.lease);
+        self.table_until = self.table_until.max(started + lease);
         self.hold_until = self.hold_until.max(started + policy.hold);
     }
 
--- a/crates/account/src/rate/slices/view.rs
+++ b/crates/account/src/rate/slices/view.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use clock::Span;
 use clock::Time;
 
 use crate::rate::EPOCH_KEY;
@@ -32,8 +33,9 @@
 impl View {
     /// Returns whether the rows were read a short time ago.
     pub fn is_recent(&self, now: Time, policy: &Policy) -> bool {
-        self.read_at
-            .is_some_and(|read_at| now.since(read_at) <= policy.read_gap)
+        self.read_at.is_some_and(|read_at| {
+            now.since(read_at) <= policy.for_fleet(policy.read_gap, self.rows.len())
+        })
     }
 
     /// Returns when the last read had ended.
@@ -114,7 +116,8 @@
 impl Seen {
     /// Returns whether the short lease has lapsed.
     pub fn lapsed(&self, now: Time, policy: &Policy) -> bool {
-        self.row.lapsed || now >= self.since + policy.lease + policy.lease_margin
+        let lease = Span::from_millis(self.row.lease_ms);
+        self.row.lapsed || now >= self.since + lease + policy.lease_margin
     }
 
     /// Returns whether the long lease has lapsed.
--- a/crates/account/tests/rate/conflict.rs
+++ b/crates/account/tests/rate/conflict.rs
@@ -62,6 +62,7 @@
         address: ([127, 0, 0, 2], 7_000).into(),
         serial: 1,
         lapsed: false,
+        lease_ms: 1_000,
         pinned: 0,
         mobile: 0,
         electors: vec![member.clone()],
--- a/crates/account/tests/rate/random.rs
+++ b/crates/account/tests/rate/random.rs
@@ -130,6 +130,15 @@
     assert!(broken.is_some(), "no run found the fault");
 }
 
+#[test]
+fn the_bound_holds_with_leases_that_grow_with_the_fleet() {
+    for seed in 1..=4 {
+        let world = run(seed, |policy| policy.fleet = 4);
+        assert_eq!(world.bound.broken, None, "seed {seed}");
+        assert!(world.granted > 1_000, "granted {}", world.granted);
+    }
+}
+
 /// Changes a limit so that other slices carry it, while instances apply the change at any time
 /// within three seconds.
 fn change_of_slices(seed: u64, spread: Span) -> World {
--- a/crates/account/tests/rate/traps.rs
+++ b/crates/account/tests/rate/traps.rs
@@ -1,6 +1,7 @@
 //! One test for each known way to grant too much or too little.
 
 use account::rate::Limit;
+use account::rate::Policy;
 use account::rate::SLICES;
 use clock::Span;
 use test_case::test_case;
@@ -101,6 +102,19 @@
     );
 }
 
+#[test]
+fn leases_grow_with_the_fleet_up_to_twice() {
+    let policy = Policy {
+        fleet: 32,
+        ..Policy::default()
+    };
+    let second = Span::from_secs(1);
+    assert_eq!(policy.for_fleet(second, 8), second);
+    assert_eq!(policy.for_fleet(second, 48), Span::from_millis(1_500));
+    assert_eq!(policy.for_fleet(second, 3_000), Span::from_secs(2));
+    assert_eq!(Policy::default().for_fleet(second, 3_000), second);
+}
+
 #[test]
 fn a_restart_brings_no_burst() {
     let mut world = settled();
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -24,7 +24,8 @@
 /// Returns the ledger's times for a table whose calls are priced, and for links between zones
 /// whose bytes are: fewer renewals and reads, leases that are longer to match, and few asks to
 /// peers that have nothing to lend. A step is 50 ms, so demand is measured and loans last for a
-/// few steps; a request waits a little rather than be refused while its account has rate left.
+/// few steps; a request waits a little rather than be refused while its account has rate left. In a
+/// fleet of more than 32 instances leases last longer.
 pub fn policy() -> Policy {
     Policy {
         lease: Span::from_secs(9),
@@ -40,6 +41,7 @@
         empty: Span::from_millis(200),
         empty_doublings: 3,
         ask_most: 3,
+        fleet: 32,
         ..Policy::default()
     }
 }
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -7,6 +7,7 @@
 use clock::Span;
 use clock::Time;
 use store::Batch;
+use tokio::time::sleep;
 
 use crate::node::Node;
 use crate::settings::Server;
@@ -15,6 +16,11 @@
 /// How long the store holds a question for changes. A connection that has gone silent is noticed
 /// after it, which leaves over a second of the seven within which a leaving server is to be left.
 const WAIT: Duration = Duration::from_secs(5);
+/// Pause after rows came, for each other instance, so that changes which follow each other come
+/// together: each answer of the store is one for every instance.
+const PAUSE_PER_INSTANCE: Duration = Duration::from_millis(12);
+/// The longest such pause; it is kept from the time in which a leaving server is to be left.
+const PAUSE_MOST: Duration = Duration::from_secs(1);
 /// A server whose entry vanished without its leaving serves on for this long if it answers: it may
 /// only be cut off from the store. It lies well below the seven seconds after which a server that
 /// is gone must get nothing more.
@@ -33,7 +39,12 @@
             if step.is_return {
                 absences.on_return(node.now());
             }
+            let has_changes = !step.batch.changes.is_empty();
             take(&node, &mut absences, step.batch, step.is_whole);
+            if has_changes {
+                let others = u32::try_from(node.peer_addresses().len()).unwrap_or(u32::MAX);
+                sleep(PAUSE_PER_INSTANCE.saturating_mul(others).min(PAUSE_MOST)).await;
+            }
         }
         for name in absences.expire(node.now()) {
             node.on_entry(&name, None);
