Take slices out of rows without the epoch, spread conflicts

Change: only a transaction that takes free slices replaces the epoch; the versions of the rows guard all others. After a conflict members read again at different times.

--- a/crates/account/src/rate/slices/plan.rs
+++ b/crates/account/src/rate/slices/plan.rs
@@ -26,6 +26,16 @@
     All,
 }
 
+impl Takeover {
+    /// Returns the slices that it takes from a row.
+    pub fn freed(self, row: &Row) -> u64 {
+        match self {
+            Self::Mobile => row.mobile,
+            Self::All => row.slices(),
+        }
+    }
+}
+
 /// The own row and the takeovers that make it possible.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
--- a/crates/account/src/rate/slices/share.rs
+++ b/crates/account/src/rate/slices/share.rs
@@ -1,6 +1,9 @@
 //! The own slices over time: reads, renewals, promises and takeovers.
 
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -29,6 +32,9 @@
 use crate::rate::slices::transaction::Transaction;
 use crate::rate::slices::view::View;
 
+/// How long a change of owners takes at the table, about.
+const CONFLICT_TURN: Span = Span::from_millis(4);
+
 /// The table call that is under way; there is at most one.
 #[derive(Clone, Debug)]
 struct Call {
@@ -187,11 +193,23 @@
             }
             // A conflict may be with the same write, sent twice by the transport, so only the
             // next read tells whether it took effect.
-            Ok(Outcome::Conflict { .. }) | Err(Error::Unknown { .. }) => self.next_read = now,
+            Ok(Outcome::Conflict { .. }) | Err(Error::Unknown { .. }) => {
+                self.next_read = now + self.conflict_pause();
+            }
             Err(Error::Refused { .. }) => self.tenure.on_refused(),
         }
     }
 
+    /// Returns a pause that differs among members who take slices at the same time, so that they
+    /// don't meet again.
+    fn conflict_pause(&self) -> Span {
+        let mut hasher = DefaultHasher::new();
+        (&self.me, self.tenure.next_serial()).hash(&mut hasher);
+        let members = self.view.rows.len() as u64 + 1;
+        let turn = hasher.finish() % members;
+        Span::from_micros(CONFLICT_TURN.as_micros() * turn)
+    }
+
     /// Decides about another member's hold.
     pub fn on_hold(&mut self, now: Time, hold: Hold) -> Option<Message> {
         if hold.elector != self.me.life || hold.row == self.key {
--- a/crates/account/src/rate/slices/transaction.rs
+++ b/crates/account/src/rate/slices/transaction.rs
@@ -32,8 +32,12 @@
             conditions: vec![expect(key, known.map(|known| known.version))],
             writes: vec![put(key, encode(row))],
         };
-        let before = known.map_or(0, |known| known.row.slices());
-        if row.slices() != before || !takeovers.is_empty() {
+        // Slices that come from rows are guarded by the versions of these.
+        let guarded = takeovers.iter().fold(
+            known.map_or(0, |known| known.row.slices()),
+            |slices, (key, takeover)| slices | takeover.freed(&view.rows[key].row),
+        );
+        if row.slices() & !guarded != 0 {
             out.next_epoch(view);
         }
         for (key, takeover) in takeovers {
@@ -62,7 +66,7 @@
         out
     }
 
-    /// Makes the transaction fail if any slice has changed its owner since the rows were read.
+    /// Makes the transaction fail if any free slice was taken since the rows were read.
     fn next_epoch(&mut self, view: &View) {
         let key = Arc::from(EPOCH_KEY);
         self.conditions.push(expect(&key, view.epoch));
