--- a/crates/account/src/rate/ledger.rs
+++ b/crates/account/src/rate/ledger.rs
@@ -88,8 +88,7 @@
         for (name, limit) in limits {
             self.accounts.entry(Arc::clone(name)).or_insert_with(|| {
                 let mut account = Account::open(now, name, *limit);
-                account.set_peers(&self.peers);
-                account.set_holders(&self.holders);
+                account.lenders().set(&self.peers, &self.holders);
                 account
             });
         }
@@ -111,8 +110,7 @@
             return;
         }
         for account in self.accounts.values_mut() {
-            account.set_peers(&peers);
-            account.set_holders(&self.holders);
+            account.lenders().set(&peers, &self.holders);
         }
         self.peers = peers;
     }
@@ -154,7 +152,7 @@
         for (name, account) in &mut self.accounts {
             for (to, amount) in account.tick(now, &self.policy, &self.schedule) {
                 self.next_ask += 1;
-                account.on_ask(now, self.next_ask, &to);
+                account.lenders().on_ask(now, self.next_ask, &to);
                 let message = Message::Ask(Ask {
                     id: self.next_ask,
                     life: self.life,
@@ -214,7 +212,7 @@
         let holders = self.share.holders();
         if holders != self.holders {
             for account in self.accounts.values_mut() {
-                account.set_holders(&holders);
+                account.lenders().set(&self.peers, &holders);
             }
             self.holders = holders;
         }
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -4,6 +4,7 @@
 mod bucket;
 mod decision;
 mod ledger;
+mod lenders;
 mod limit;
 mod message;
 mod policy;
