--- /dev/null
+++ b/crates/account/src/rate/hash.rs
@@ -0,0 +1,12 @@
+//! A hash for choices that need not be the same at all instances.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+/// Returns a hash; it may differ between builds.
+pub(super) fn hash(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/account/src/rate/ledger.rs
+++ b/crates/account/src/rate/ledger.rs
@@ -14,6 +14,7 @@
 use crate::rate::Ask;
 use crate::rate::Decision;
 use crate::rate::Limit;
+use crate::rate::Live;
 use crate::rate::Member;
 use crate::rate::Message;
 use crate::rate::Policy;
@@ -36,8 +37,6 @@
     /// All buckets are settled before this changes.
     schedule: Schedule,
     peers: Vec<Arc<str>>,
-    /// Which slices the other members hold, by name.
-    holders: BTreeMap<Arc<str>, u64>,
     next_ask: u64,
     urgent: bool,
 }
@@ -65,7 +64,6 @@
             share: Share::open(me, address, policy),
             schedule: Schedule::default(),
             peers: Vec::new(),
-            holders: BTreeMap::new(),
             next_ask: 0,
             urgent: false,
         }
@@ -88,14 +86,14 @@
         for (name, limit) in limits {
             self.accounts.entry(Arc::clone(name)).or_insert_with(|| {
                 let mut account = Account::open(now, name, *limit);
-                account.lenders().set(&self.peers, &self.holders);
+                account.lenders().set(&self.peers, self.share.members());
                 account
             });
         }
     }
 
-    /// Returns the other instances whose leases have not lapsed, and where they listen.
-    pub fn members(&self) -> BTreeMap<Arc<str>, SocketAddr> {
+    /// Returns the other instances whose leases have not lapsed.
+    pub fn members(&self) -> &BTreeMap<Arc<str>, Live> {
         self.share.members()
     }
 
@@ -110,7 +108,7 @@
             return;
         }
         for account in self.accounts.values_mut() {
-            account.lenders().set(&peers, &self.holders);
+            account.lenders().set(&peers, self.share.members());
         }
         self.peers = peers;
     }
@@ -207,14 +205,13 @@
         id: u64,
         result: Result<Vec<store::Row>, Error>,
     ) -> Vec<Action> {
+        let before = self.share.members().clone();
         let actions = self.share.on_read(now, id, result);
         self.reschedule(now);
-        let holders = self.share.holders();
-        if holders != self.holders {
+        if *self.share.members() != before {
             for account in self.accounts.values_mut() {
-                account.lenders().set(&self.peers, &holders);
+                account.lenders().set(&self.peers, self.share.members());
             }
-            self.holders = holders;
         }
         actions
     }
--- a/crates/account/src/rate/lenders.rs
+++ b/crates/account/src/rate/lenders.rs
@@ -1,20 +1,20 @@
 //! Whom an instance asks for tokens of one account.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 
 use clock::Span;
 use clock::Time;
 
 use crate::rate::Amount;
+use crate::rate::Live;
 use crate::rate::Loan;
 use crate::rate::Policy;
 use crate::rate::Schedule;
 use crate::rate::account::FLOOR;
 use crate::rate::bucket::Bucket;
+use crate::rate::hash::hash;
 
 /// An ask that was sent and is not answered yet.
 #[derive(Clone, Debug)]
@@ -50,12 +50,12 @@
 }
 
 impl Lenders {
-    /// Sets the instances that may be asked, and the slices that each is known to hold.
-    pub fn set(&mut self, peers: &[Arc<str>], holders: &BTreeMap<Arc<str>, u64>) {
+    /// Sets the instances that may be asked, and the slices that live members hold.
+    pub fn set(&mut self, peers: &[Arc<str>], members: &BTreeMap<Arc<str>, Live>) {
         self.peers.retain(|name, _| peers.contains(name));
         for name in peers {
             let peer = self.peers.entry(Arc::clone(name)).or_default();
-            peer.holds = holders.get(name).copied();
+            peer.holds = members.get(name).map(|live| live.slices);
         }
     }
 
@@ -153,8 +153,7 @@
             .filter(|(expected, _)| *expected > Amount::ZERO)
             .collect();
         // Among equal ones each ask begins with another, so that not all instances ask the same.
-        ready
-            .sort_by_cached_key(|(expected, name)| std::cmp::Reverse((*expected, self.rank(name))));
+        ready.sort_by_cached_key(|(expected, name)| Reverse((*expected, hash((name, self.asked)))));
         ready.truncate(more);
         let Some((best, _)) = ready.first() else {
             return Vec::new();
@@ -188,13 +187,6 @@
             .fold(Amount::ZERO, Amount::plus)
             .min(full)
     }
-
-    /// Orders peers that can be expected to lend the same; the order changes with each ask.
-    fn rank(&self, peer: &str) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        (peer, self.asked).hash(&mut hasher);
-        hasher.finish()
-    }
 }
 
 /// Returns what a peer can be expected to lend; `None` if nothing is known of it.
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod bucket;
 mod decision;
+mod hash;
 mod ledger;
 mod lenders;
 mod limit;
@@ -30,6 +31,7 @@
 pub use quota::Quota;
 pub use schedule::Schedule;
 pub use slices::EPOCH_KEY;
+pub use slices::Live;
 pub use slices::Member;
 pub use slices::PREFIX;
 pub use slices::Row;
--- a/crates/account/src/rate/portion.rs
+++ b/crates/account/src/rate/portion.rs
@@ -1,8 +1,7 @@
 //! Which slices carry an account's limit.
 
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
+use sha2::Digest;
+use sha2::Sha256;
 
 use crate::rate::Amount;
 use crate::rate::Limit;
@@ -17,8 +16,9 @@
 /// Which slices carry an account's limit, and how much each carries.
 ///
 /// A limit with a small burst is carried by few slices, one for two tokens, since a bucket with room
-/// for less than a token grants nothing, and one with room for two is seldom empty. The slices follow from the account's name and the
-/// limit alone, and those of a smaller limit are among those of a larger one.
+/// for less than a token grants nothing, and one with room for two is seldom empty. The slices follow
+/// from the account's name and the limit alone, and those of a smaller limit are among those of a
+/// larger one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Portion {
     /// The slices, as a mask.
@@ -77,13 +77,13 @@
 /// Returns `count` slices for an account; fewer are always among more.
 fn mask(account: &str, count: u64) -> u64 {
     let most = u64::from(SLICES);
-    let mut hasher = DefaultHasher::new();
-    account.hash(&mut hasher);
-    let hash = hasher.finish();
+    // All instances must choose the same, whatever their build.
+    let digest = Sha256::digest(account.as_bytes());
+    let first = u64::from(digest[0]);
     // An odd step goes through all slices before it comes back.
-    let step = (hash >> 32) | 1;
+    let step = u64::from(digest[1]) | 1;
     (0..count).fold(0, |mask, index| {
-        let slice = hash.wrapping_add(step.wrapping_mul(index)) % most;
+        let slice = (first + step * index) % most;
         mask | 1 << slice
     })
 }
--- a/crates/account/src/rate/slices/plan.rs
+++ b/crates/account/src/rate/slices/plan.rs
@@ -1,9 +1,6 @@
 //! Which slices a member should hold, as a pure function of the rows.
 
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::sync::Arc;
 
 use clock::Time;
@@ -12,6 +9,7 @@
 use crate::rate::Policy;
 use crate::rate::Row;
 use crate::rate::SLICES;
+use crate::rate::hash::hash;
 use crate::rate::slices::view::Seen;
 
 /// The most electors of a row; a majority of them is five.
@@ -100,11 +98,7 @@
 /// little when members come and go.
 fn electors(me: &Member, mut members: Vec<Member>) -> Vec<Member> {
     if members.len() > ELECTORS_MOST {
-        members.sort_by_cached_key(|member| {
-            let mut hasher = DefaultHasher::new();
-            (&me.name, member).hash(&mut hasher);
-            (member != me, hasher.finish())
-        });
+        members.sort_by_cached_key(|member| (member != me, hash((&me.name, member))));
         members.truncate(ELECTORS_MOST);
         members.sort_unstable();
     }
--- a/crates/account/src/rate/slices/share.rs
+++ b/crates/account/src/rate/slices/share.rs
@@ -1,9 +1,6 @@
 //! The own slices over time: reads, renewals, promises and takeovers.
 
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -22,6 +19,7 @@
 use crate::rate::Schedule;
 use crate::rate::Send;
 use crate::rate::Take;
+use crate::rate::hash::hash;
 use crate::rate::slices::elector::Elector;
 use crate::rate::slices::plan::Plan;
 use crate::rate::slices::plan::Takeover;
@@ -30,6 +28,7 @@
 use crate::rate::slices::tenure::Known;
 use crate::rate::slices::tenure::Tenure;
 use crate::rate::slices::transaction::Transaction;
+use crate::rate::slices::view::Live;
 use crate::rate::slices::view::View;
 
 /// How long a change of owners takes at the table, about.
@@ -92,18 +91,9 @@
         self.tenure.schedule(now, &self.policy)
     }
 
-    /// Returns the other live members and where they listen.
-    pub fn members(&self) -> BTreeMap<Arc<str>, SocketAddr> {
-        let mut members = self.view.live(&self.policy);
-        members.remove(&self.me.name);
-        members
-    }
-
-    /// Returns which slices the other live members hold.
-    pub fn holders(&self) -> BTreeMap<Arc<str>, u64> {
-        let mut holders = self.view.holders(&self.policy);
-        holders.remove(&self.me.name);
-        holders
+    /// Returns the other live members, as of the last read.
+    pub fn members(&self) -> &BTreeMap<Arc<str>, Live> {
+        &self.view.live
     }
 
     /// Returns when the rows were last read.
@@ -167,6 +157,7 @@
         if !self.view.on_read(now, &self.policy, &rows) {
             return Vec::new();
         }
+        self.view.live.remove(&self.me.name);
         let found = self.view.rows.remove(&self.key).map(|seen| Known {
             version: seen.version,
             row: seen.row,
@@ -203,10 +194,8 @@
     /// Returns a pause that differs among members who take slices at the same time, so that they
     /// don't meet again.
     fn conflict_pause(&self) -> Span {
-        let mut hasher = DefaultHasher::new();
-        (&self.me, self.tenure.next_serial()).hash(&mut hasher);
         let members = self.view.rows.len() as u64 + 1;
-        let turn = hasher.finish() % members;
+        let turn = hash((&self.me, self.tenure.next_serial())) % members;
         Span::from_micros(CONFLICT_TURN.as_micros() * turn)
     }
 
--- a/crates/account/src/rate/slices/view.rs
+++ b/crates/account/src/rate/slices/view.rs
@@ -20,6 +20,15 @@
     pub since: Time,
 }
 
+/// A member whose lease had not lapsed at the last read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Live {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The slices that it holds, as a mask.
+    pub slices: u64,
+}
+
 /// The rows of all members as this instance has read them.
 #[derive(Clone, Debug, Default)]
 pub(super) struct View {
@@ -28,6 +37,9 @@
     pub epoch: Option<u64>,
     /// When the last read had ended.
     read_at: Option<Time>,
+    /// The live members by name, as of the last read: while the table does not answer nobody can
+    /// renew, so nobody lapses either.
+    pub live: BTreeMap<Arc<str>, Live>,
 }
 
 impl View {
@@ -43,43 +55,6 @@
         self.read_at
     }
 
-    /// Returns the members whose leases had not lapsed at the last read, and where they listen.
-    pub fn live(&self, policy: &Policy) -> BTreeMap<Arc<str>, SocketAddr> {
-        self.newest(policy)
-            .into_iter()
-            .map(|(name, seen)| (Arc::clone(name), seen.row.address))
-            .collect()
-    }
-
-    /// Returns which slices the live members hold.
-    pub fn holders(&self, policy: &Policy) -> BTreeMap<Arc<str>, u64> {
-        self.newest(policy)
-            .into_iter()
-            .map(|(name, seen)| (Arc::clone(name), seen.row.slices()))
-            .collect()
-    }
-
-    /// Returns the rows whose leases had not lapsed at the last read, the newest of each name.
-    ///
-    /// While the table does not answer nobody can renew, so nobody lapses either.
-    fn newest(&self, policy: &Policy) -> BTreeMap<&Arc<str>, &Seen> {
-        let mut newest: BTreeMap<&Arc<str>, &Seen> = BTreeMap::new();
-        let Some(read_at) = self.read_at else {
-            return newest;
-        };
-        let live = self
-            .rows
-            .values()
-            .filter(|seen| !seen.lapsed(read_at, policy));
-        for seen in live {
-            let known = newest.entry(&seen.row.member.name).or_insert(seen);
-            if known.since < seen.since {
-                *known = seen;
-            }
-        }
-        newest
-    }
-
     /// Takes in a read of all rows that ended at `now`.
     ///
     /// Returns false, and changes nothing, if a row does not parse.
@@ -106,6 +81,7 @@
             };
             next.insert(Arc::clone(&row.key), seen);
         }
+        self.live = live(now, policy, &next);
         self.rows = next;
         self.epoch = epoch;
         self.read_at = Some(now);
@@ -113,6 +89,25 @@
     }
 }
 
+/// Returns the members whose leases have not lapsed, each by the newest of its rows.
+fn live(now: Time, policy: &Policy, rows: &BTreeMap<Arc<str>, Seen>) -> BTreeMap<Arc<str>, Live> {
+    let mut newest: BTreeMap<&Arc<str>, &Seen> = BTreeMap::new();
+    for seen in rows.values().filter(|seen| !seen.lapsed(now, policy)) {
+        let known = newest.entry(&seen.row.member.name).or_insert(seen);
+        if known.since < seen.since {
+            *known = seen;
+        }
+    }
+    let live = |seen: &Seen| Live {
+        address: seen.row.address,
+        slices: seen.row.slices(),
+    };
+    newest
+        .into_iter()
+        .map(|(name, seen)| (Arc::clone(name), live(seen)))
+        .collect()
+}
+
 impl Seen {
     /// Returns whether the short lease has lapsed.
     pub fn lapsed(&self, now: Time, policy: &Policy) -> bool {
--- a/crates/relay/src/failover/departures.rs
+++ b/crates/relay/src/failover/departures.rs
@@ -8,6 +8,7 @@
 use store::Row;
 use store::Write;
 
+use crate::failover::row;
 use crate::settings::Server;
 
 /// The prefix of the rows.
@@ -79,21 +80,6 @@
 
     /// Returns the condition and the write that put `content` in the place of `before`.
     pub fn replace(group: &str, before: Option<&Row>, content: &Departed) -> (Condition, Write) {
-        let key = Self::key(group);
-        let condition = match before {
-            Some(row) => Condition::Version {
-                key: Arc::clone(&key),
-                version: row.version,
-            },
-            None => Condition::Absent {
-                key: Arc::clone(&key),
-            },
-        };
-        let value = serde_json::to_string(content).expect("an entry has only plain values");
-        let write = Write::Put {
-            key,
-            value: Arc::from(value),
-        };
-        (condition, write)
+        row::replace(Self::key(group), before, content)
     }
 }
--- a/crates/relay/src/failover/duty.rs
+++ b/crates/relay/src/failover/duty.rs
@@ -13,6 +13,7 @@
 use store::Row;
 use store::Write;
 
+use crate::failover::row;
 use crate::node::lock;
 
 /// The prefix of the rows.
@@ -62,22 +63,7 @@
 
     /// Returns the condition and the write that put this duty in place of `before`.
     pub fn replace(&self, group: &str, before: Option<&Row>) -> (Condition, Write) {
-        let key = Self::key(group);
-        let condition = match before {
-            Some(row) => Condition::Version {
-                key: Arc::clone(&key),
-                version: row.version,
-            },
-            None => Condition::Absent {
-                key: Arc::clone(&key),
-            },
-        };
-        let value = serde_json::to_string(self).expect("a duty has only plain values");
-        let write = Write::Put {
-            key,
-            value: Arc::from(value),
-        };
-        (condition, write)
+        row::replace(Self::key(group), before, self)
     }
 }
 
--- a/crates/relay/src/failover/row.rs
+++ b/crates/relay/src/failover/row.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Serialize;
+use store::Condition;
 use store::Row;
+use store::Write;
 use tokio::time::timeout;
 
 use crate::group::Group;
@@ -15,6 +18,29 @@
 /// Longest wait for a call to the table.
 pub const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Returns the condition and the write that put `content` in the place of `before`.
+pub fn replace(
+    key: Arc<str>,
+    before: Option<&Row>,
+    content: &impl Serialize,
+) -> (Condition, Write) {
+    let condition = match before {
+        Some(row) => Condition::Version {
+            key: Arc::clone(&key),
+            version: row.version,
+        },
+        None => Condition::Absent {
+            key: Arc::clone(&key),
+        },
+    };
+    let value = serde_json::to_string(content).expect("rows hold only plain values");
+    let write = Write::Put {
+        key,
+        value: Arc::from(value),
+    };
+    (condition, write)
+}
+
 /// Reads a row of a group; `None` if the table does not answer.
 pub async fn read(node: &Node, group: &Group, key: &str) -> Option<Option<Row>> {
     match timeout(TABLE_TIMEOUT, node.parts.table.get(key)).await {
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -18,6 +18,7 @@
 use account::rate::Decision;
 use account::rate::Ledger;
 use account::rate::Limit;
+use account::rate::Live;
 use clock::Span;
 use clock::Time;
 use tokio::sync::Notify;
@@ -165,21 +166,30 @@
         lock(&self.members).clone()
     }
 
-    /// Takes in which other instances live.
-    pub fn on_members(&self, members: BTreeMap<Arc<str>, SocketAddr>) {
+    /// Returns the address of another live instance.
+    pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        lock(&self.members).get(name).copied()
+    }
+
+    /// Takes in which other instances live; returns whether that has changed.
+    pub fn on_members(&self, live: &BTreeMap<Arc<str>, Live>) -> bool {
         let mut known = lock(&self.members);
-        if *known == members {
-            return;
+        let addresses = || live.iter().map(|(name, live)| (name, &live.address));
+        if known.iter().eq(addresses()) {
+            return false;
         }
-        for name in known.keys().filter(|name| !members.contains_key(*name)) {
+        for name in known.keys().filter(|name| !live.contains_key(*name)) {
             log::info!("event=member-lost member={name}");
         }
-        for (name, address) in &members {
+        for (name, address) in addresses() {
             if known.get(name) != Some(address) {
                 log::info!("event=member-known member={name} address={address}");
             }
         }
-        *known = members;
+        *known = addresses()
+            .map(|(name, address)| (Arc::clone(name), *address))
+            .collect();
+        true
     }
 
     /// Puts a revision in force, unless a newer one is.
--- a/crates/relay/src/session/context.rs
+++ b/crates/relay/src/session/context.rs
@@ -10,6 +10,7 @@
 
 use crate::Error;
 use crate::group::Group;
+use crate::group::Server;
 use crate::message::Access;
 use crate::message::Failure;
 use crate::message::Reply;
@@ -66,6 +67,15 @@
         }
     }
 
+    /// Takes a connection to a server, waiting for its turn.
+    pub async fn acquire(&self, server: &Server) -> Result<Lane, Error> {
+        let priority = self.route.priority;
+        server
+            .pool
+            .acquire(self.account, priority, self.patience())
+            .await
+    }
+
     /// Brings a lane's values and prepared statements in line; on failure it must be dropped.
     pub async fn adapt(
         &self,
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -116,12 +116,7 @@
     server: &Arc<Server>,
     floor: Option<Position>,
 ) -> Result<Reply, Refusal> {
-    let priority = job.route.priority;
-    let acquired = server
-        .pool
-        .acquire(job.account, priority, job.patience())
-        .await;
-    let mut lane = acquired.map_err(Refusal::from)?;
+    let mut lane = job.acquire(server).await.map_err(Refusal::from)?;
     let adapted = job.adapt(&mut lane, None).await;
     adapted.map_err(|trouble| Refusal::Elsewhere(trouble.to_string()))?;
     if let Some(failure) = job.node.still_allowed(job) {
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -258,12 +258,7 @@
         server: &Arc<Server>,
         floor: Option<Position>,
     ) -> Result<Lane, Refusal> {
-        let priority = job.route.priority;
-        let acquired = server
-            .pool
-            .acquire(job.account, priority, job.patience())
-            .await;
-        let mut lane = acquired.map_err(Refusal::from)?;
+        let mut lane = job.acquire(server).await.map_err(Refusal::from)?;
         if let Some(failure) = job.node.still_allowed(job) {
             lane.release();
             return Err(Refusal::Final(failure));
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -49,12 +49,7 @@
 }
 
 async fn attempt(job: &Job<'_>, server: &Arc<Server>) -> Attempt {
-    let priority = job.route.priority;
-    let mut lane = match server
-        .pool
-        .acquire(job.account, priority, job.patience())
-        .await
-    {
+    let mut lane = match job.acquire(server).await {
         Ok(lane) => lane,
         Err(Error::Overloaded { .. }) => return Attempt::Answer(refused(job, OVERLOADED)),
         Err(error) => return Attempt::NotRun(error.to_string()),
--- a/crates/relay/src/task/ledger.rs
+++ b/crates/relay/src/task/ledger.rs
@@ -51,12 +51,12 @@
     loop {
         // Woken or not, the ledger looks what is due.
         let _elapsed = timeout(STEP_EVERY, node.ledger_due.notified()).await;
-        let addresses = lock(&node.ledger).members();
-        let peers = addresses.keys().cloned().collect();
-        node.on_members(addresses);
         let actions = {
             let mut ledger = lock(&node.ledger);
-            ledger.on_peers(peers);
+            if node.on_members(ledger.members()) {
+                let peers = ledger.members().keys().cloned().collect();
+                ledger.on_peers(peers);
+            }
             ledger.tick(node.now())
         };
         carry_out(&node, actions).await;
@@ -92,7 +92,7 @@
     for action in actions {
         match action {
             Action::Send(send) => {
-                if let Some(address) = node.peer_addresses().get(&send.to).copied() {
+                if let Some(address) = node.peer_address(&send.to) {
                     let content = Content::Rate(send.message);
                     node.peers.send(node, address, content).await;
                 }
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -1,14 +1,11 @@
 //! Follows the settings, and lets the keys count as known.
 
-use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clock::Time;
+use membership::ranked;
 use rand::seq::IteratorRandom;
 use store::Batch;
 use store::Change;
@@ -32,6 +29,9 @@
 /// Instances for each further one that asks the store.
 const INSTANCES_PER_ASKER: usize = 16;
 
+/// What the instances are ranked by to choose those that ask the store.
+const RANK_KEY: &str = "settings";
+
 /// Follows the settings until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut follower = Follower::open(&node.parts.revisions, "settings");
@@ -53,26 +53,15 @@
 /// Returns an instance that asks the store; `None` if this one has to.
 fn asker(node: &Node) -> Option<SocketAddr> {
     let members = node.peer_addresses();
-    let askers = askers(&node.options.name, &members);
-    if askers.contains(&&node.options.name) {
+    let mut askers = ranked(RANK_KEY, members.keys().chain([&node.options.name]));
+    askers.truncate(ASKERS_MIN + askers.len() / INSTANCES_PER_ASKER);
+    if askers.contains(&node.options.name) {
         return None;
     }
-    let chosen = askers.into_iter().choose(&mut rand::rng())?;
+    let chosen = askers.iter().choose(&mut rand::rng())?;
     members.get(chosen).copied()
 }
 
-/// Returns the instances that ask the store; all choose the same ones, from any zone.
-fn askers<'a>(own: &'a Arc<str>, members: &'a BTreeMap<Arc<str>, SocketAddr>) -> Vec<&'a Arc<str>> {
-    let mut names: Vec<&Arc<str>> = members.keys().chain([own]).collect();
-    names.sort_unstable_by_key(|name| {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        hasher.finish()
-    });
-    names.truncate(ASKERS_MIN + names.len() / INSTANCES_PER_ASKER);
-    names
-}
-
 /// Asks the store for changes; returns whether it answered.
 async fn ask_store(node: &Arc<Node>, follower: &mut Follower<Revision>) -> bool {
     let mut wait = WAIT;
