--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -108,6 +108,11 @@
         self.slices.last_read()
     }
 
+    /// Returns until when the row that registers this instance is sure to stay in the table.
+    pub fn registered_until(&self) -> Time {
+        self.slices.registered_until()
+    }
+
     /// Sets the peers that may lend tokens, without this instance.
     pub fn on_peers(&mut self, peers: Vec<Arc<str>>) {
         if peers == self.peers {
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -35,3 +35,4 @@
 pub use slices::Member;
 pub use slices::ROW_PREFIX;
 pub use slices::Row;
+pub use slices::registered;
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -104,6 +104,14 @@
         self.view.read_at()
     }
 
+    /// Returns until when the own row is sure to stay in the table.
+    pub fn registered_until(&self) -> Time {
+        let confirmed = self.lease.confirmed.as_ref();
+        confirmed.map_or(Time::ZERO, |confirmed| {
+            self.renewed_at + Span::from_millis(confirmed.row.lease_ms)
+        })
+    }
+
     /// Starts to release all slices for a planned stop.
     pub fn leave(&mut self) {
         self.is_leaving = true;
--- a/crates/account/src/rate/slices/mod.rs
+++ b/crates/account/src/rate/slices/mod.rs
@@ -14,4 +14,5 @@
 pub use row::Member;
 pub use row::ROW_PREFIX;
 pub use row::Row;
+pub use row::registered;
 pub use view::Holder;
--- a/crates/account/src/rate/slices/row.rs
+++ b/crates/account/src/rate/slices/row.rs
@@ -1,5 +1,6 @@
 //! The table rows in which instances record their slices.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -28,6 +29,15 @@
     }
 }
 
+/// Returns the addresses of the instances registered in `rows`, by name; rows that can't be parsed
+/// are skipped.
+pub fn registered(rows: &[store::Row]) -> BTreeMap<Arc<str>, SocketAddr> {
+    rows.iter()
+        .filter_map(|row| serde_json::from_str::<Row>(&row.value).ok())
+        .map(|row| (row.member.name, row.address))
+        .collect()
+}
+
 /// The slices of one member, which are the same for every account. Stored as JSON.
 ///
 /// Invariant: a slice is in at most one row and in at most one of the two masks.
--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use clock::Span;
+use clock::Time;
 use store::Outcome;
 use store::Row;
 use tokio::time::timeout;
@@ -11,15 +13,22 @@
 use crate::failover::row;
 use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
+use crate::node::Fencing;
 use crate::node::Node;
 
+/// Age of the last renewal up to which promotions are requested. Another instance takes the lease
+/// over no sooner than 3.5 s after a renewal, and a request takes up to 1.2 s.
+const RENEWAL_MAX_AGE: Span = Span::from_millis(2_000);
+
 /// A failover lease held by this instance.
 pub struct Claim {
     /// The lease as written to the row.
     pub lease: Lease,
     /// The version of the row that holds it.
     version: u64,
-    /// Whether the previous holder never recorded `Phase::Done`.
+    /// When the last successful write of the row began.
+    renewed: Time,
+    /// Whether the previous holder left its replacement in `Phase::Working`.
     is_predecessor_unfinished: bool,
 }
 
@@ -42,7 +51,12 @@
     /// Acquires a group's lease; `None` if another instance holds it or the table does not answer.
     pub async fn acquire(node: &Node, group: &Group) -> Option<Self> {
         let row = row::read(node, group, &Lease::key(&group.name)).await?;
-        Self::acquire_from(node, group, row).await
+        Self::acquire_from(node, group, row, Phase::Working).await
+    }
+
+    /// Returns whether no other instance can have taken the lease over.
+    pub fn is_current(&self, now: Time) -> bool {
+        now < self.renewed + RENEWAL_MAX_AGE
     }
 
     /// Acquires a group's lease if its holder died during a failover.
@@ -51,14 +65,24 @@
             return Takeover::Unknown;
         };
         let lease = row.as_ref().and_then(Lease::parse);
-        if lease.is_none_or(|lease| lease.phase == Phase::Done) {
+        let phase = lease.map_or(Phase::Done, |lease| lease.phase);
+        if phase == Phase::Done {
             return Takeover::NotNeeded;
         }
-        let taken = Self::acquire_from(node, group, row).await;
+        if phase == Phase::Working && node.options.fencing == Fencing::Unchecked {
+            // Nobody knows the leader, so the replacement is begun anew instead.
+            return Takeover::Unknown;
+        }
+        let taken = Self::acquire_from(node, group, row, phase).await;
         taken.map_or(Takeover::Unknown, Takeover::Acquired)
     }
 
-    async fn acquire_from(node: &Node, group: &Group, row: Option<Row>) -> Option<Self> {
+    async fn acquire_from(
+        node: &Node,
+        group: &Group,
+        row: Option<Row>,
+        phase: Phase,
+    ) -> Option<Self> {
         let key = Lease::key(&group.name);
         let now = node.now();
         if !node
@@ -68,10 +92,7 @@
             return None;
         }
         let before = row.as_ref().and_then(Lease::parse);
-        if let Some(before) = before
-            .as_ref()
-            .filter(|lease| lease.phase == Phase::Working)
-        {
+        if let Some(before) = before.as_ref().filter(|lease| lease.phase != Phase::Done) {
             // The previous holder may know servers that were removed before this instance started.
             group.restore_holders(&before.commit_holders);
         }
@@ -84,9 +105,13 @@
         let lease = Lease {
             holder: Arc::clone(&node.options.name),
             incarnation: node.incarnation,
-            token: before.map_or(row_version, |before| before.token) + 1,
-            phase: Phase::Working,
+            token: before.as_ref().map_or(row_version, |before| before.token) + 1,
+            phase,
             commit_holders: group.commit_holders(now),
+            leader: before.as_ref().and_then(|before| before.leader),
+            requested: before
+                .filter(|before| before.phase == Phase::Working)
+                .and_then(|before| before.requested),
         };
         let (condition, write) = lease.compare_and_set(&group.name, row.as_ref());
         let commit = node.dependencies.table.commit(vec![condition], vec![write]);
@@ -94,6 +119,7 @@
             Ok(Ok(Outcome::Committed { version })) => Some(Self {
                 lease,
                 version,
+                renewed: now,
                 is_predecessor_unfinished,
             }),
             Ok(Ok(Outcome::Conflict { .. })) => None,
@@ -107,6 +133,7 @@
                 is_ours.then_some(Self {
                     lease,
                     version: row.version,
+                    renewed: now,
                     is_predecessor_unfinished,
                 })
             }
@@ -115,8 +142,9 @@
 
     /// Renews the lease with `phase`; returns whether this instance still holds it.
     pub async fn renew(&mut self, node: &Node, group: &Group, phase: Phase) -> bool {
+        let begun = node.now();
         self.lease.phase = phase;
-        self.lease.commit_holders = group.commit_holders(node.now());
+        self.lease.commit_holders = group.commit_holders(begun);
         let before = Row {
             key: Lease::key(&group.name),
             value: Arc::from(""),
@@ -127,6 +155,7 @@
         match timeout(TABLE_TIMEOUT, commit).await {
             Ok(Ok(Outcome::Committed { version })) => {
                 self.version = version;
+                self.renewed = begun;
                 true
             }
             failed => {
@@ -134,8 +163,27 @@
                     "event=duty-unwritten group={} why=\"{failed:?}\"",
                     group.name
                 );
-                false
+                self.find_write(node, group, begun).await
             }
         }
     }
+
+    /// Returns whether a write whose reply was lost took effect.
+    async fn find_write(&mut self, node: &Node, group: &Group, begun: Time) -> bool {
+        let row = row::read(node, group, &Lease::key(&group.name)).await;
+        let Some(row) = row.flatten() else {
+            return false;
+        };
+        let Some(read) = Lease::parse(&row) else {
+            return false;
+        };
+        if read.incarnation == self.lease.incarnation && read.token == self.lease.token {
+            self.version = row.version;
+        }
+        let is_written = read == self.lease;
+        if is_written {
+            self.renewed = begun;
+        }
+        is_written
+    }
 }
--- a/crates/relay/src/failover/departed.rs
+++ b/crates/relay/src/failover/departed.rs
@@ -53,7 +53,7 @@
     lock(&group.departures).on_read(&content);
     group.restore_departed(content);
     let lease = rows.get(&Lease::key(&group.name)).and_then(Lease::parse);
-    if lease.is_some_and(|lease| lease.phase == Phase::Working) {
+    if lease.is_some_and(|lease| lease.phase != Phase::Done) {
         lock(&group.recheck).on_replacement(node.now());
     }
 }
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 
@@ -14,10 +15,9 @@
 use store::Write;
 
 use crate::failover::row;
+use crate::group::Appointment;
 use crate::node::lock;
 
-/// Key prefix of the rows.
-const PREFIX: &str = "group/duty/";
 /// A working holder whose row stays unchanged for this long is presumed dead: a replacement takes
 /// about a second, and a longer one renews the row.
 const ABANDONED_AFTER: Span = Span::from_millis(3_500);
@@ -30,6 +30,8 @@
 pub enum Phase {
     /// A replacement is in progress.
     Working,
+    /// The leader is known and stays, but replicas may still be paused.
+    Appointed,
     /// The last replacement has ended.
     Done,
 }
@@ -49,9 +51,28 @@
     /// The servers that may hold acknowledged commits, as known to the holder, for its successor.
     #[serde(rename = "holders", default)]
     pub commit_holders: BTreeSet<Arc<str>>,
+    /// The address of the leader named by the last replacement that ended, if any did. It
+    /// identifies the leader's log; a server that restarts there may have another id.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leader: Option<SocketAddr>,
+    /// The server whose promotion this or an earlier unfinished replacement requested.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requested: Option<Arc<str>>,
 }
 
 impl Lease {
+    /// Key prefix of the rows.
+    pub const PREFIX: &str = "group/duty/";
+
+    /// Returns the appointment that the row states.
+    pub fn appointment(&self) -> Appointment {
+        Appointment {
+            token: self.token,
+            leader: self.leader,
+            is_settled: self.phase != Phase::Working,
+        }
+    }
+
     /// Parses a row; `None` if it is unreadable.
     pub fn parse(row: &Row) -> Option<Self> {
         serde_json::from_str(&row.value).ok()
@@ -59,7 +80,7 @@
 
     /// Returns the key of a group's row.
     pub fn key(group: &str) -> Arc<str> {
-        Arc::from(format!("{PREFIX}{group}"))
+        Arc::from(format!("{}{group}", Self::PREFIX))
     }
 
     /// Returns the condition and write that replace `before` with this lease.
@@ -96,7 +117,7 @@
         };
         match Lease::parse(row) {
             Some(lease) if lease.incarnation == incarnation => true,
-            Some(lease) if lease.phase == Phase::Working => now >= first_seen + ABANDONED_AFTER,
+            Some(lease) if lease.phase != Phase::Done => now >= first_seen + ABANDONED_AFTER,
             Some(_) => now >= first_seen + PREVIOUS_HOLDER_HEAD_START,
             None => true,
         }
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod recheck;
 mod replacement;
+mod revocation;
 mod row;
 mod survey;
 
@@ -23,6 +24,7 @@
 pub use lease::Leases;
 pub use lease::Phase;
 pub use recheck::Recheck;
+pub use revocation::Revocation;
 pub use row::Rows;
 pub use survey::Choice;
 pub use survey::Survey;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,9 +1,13 @@
 //! The steps of replacing a group's primary.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use account::rate;
+use account::rate::ROW_PREFIX;
 use clock::Span;
 use endpoint::Position;
 use endpoint::Role;
@@ -19,13 +23,16 @@
 use crate::failover::Choice;
 use crate::failover::Phase;
 use crate::failover::Reason;
+use crate::failover::Revocation;
 use crate::failover::Survey;
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
 use crate::failover::command;
+use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
 use crate::group::Server;
 use crate::message::Statement;
+use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Payload;
@@ -40,6 +47,8 @@
 /// A promotion usually takes effect within this time; the platform specifies a few hundred
 /// milliseconds.
 const PROMOTION_SETTLE_TIME: Duration = Duration::from_millis(1_000);
+/// Maximum wait for other instances to give up their leader leases in one attempt.
+const REVOCATION_TIMEOUT: Duration = Duration::from_millis(40);
 /// Pause between two attempts of a step.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Attempts of a step before the lease is given up; a new failover gets a new token.
@@ -65,6 +74,13 @@
     old: Option<Arc<Server>>,
     /// The newest term reported by any server; pause and demote commands need a newer one.
     term: u64,
+    /// Whether the group's primary was ever replaced.
+    was_replaced: bool,
+    /// The leader leases of other instances that must end first; `None` where a replaced primary
+    /// refuses statements by itself.
+    revocation: Option<Revocation>,
+    /// The other instances registered in the table, by name.
+    instances: BTreeMap<Arc<str>, SocketAddr>,
 }
 
 impl<'a> Replacement<'a> {
@@ -76,6 +92,9 @@
             reason,
             old: group.leader(),
             term: lock(&group.leadership).term(),
+            was_replaced: false,
+            revocation: None,
+            instances: BTreeMap::new(),
         }
     }
 
@@ -144,6 +163,14 @@
             claim.lease.token
         );
         let begun = self.node.now();
+        if self.is_unchecked() && !self.take_appointed(&claim) {
+            let leader = claim.lease.leader;
+            self.release(&mut claim, leader.is_some()).await;
+            return;
+        }
+        if self.is_unchecked() {
+            self.open_revocation(&claim).await;
+        }
         let promoted = self.replace(&mut claim, acknowledged).await;
         log::info!(
             "event=failover-ended group={} promoted={} token={} ms={}",
@@ -153,9 +180,129 @@
             self.node.now().since(begun).as_millis()
         );
         if let Some(leader) = &promoted {
+            self.appoint(&mut claim, leader).await;
+            self.announce(leader).await;
             self.resume(leader).await;
         }
         self.release(&mut claim, promoted.is_some()).await;
+        self.group
+            .change_leader_lease(|lease| lease.set_candidate(None));
+        self.node.leader_appointed.notify_one();
+    }
+
+    fn is_unchecked(&self) -> bool {
+        self.node.options.fencing == Fencing::Unchecked
+    }
+
+    /// Takes the leader named by the table for the one to replace, as any other server that acts as
+    /// primary has been replaced; returns whether it still must be.
+    fn take_appointed(&mut self, claim: &Claim) -> bool {
+        self.was_replaced = claim.lease.leader.is_some() || claim.lease.requested.is_some();
+        if let Some(address) = claim.lease.leader {
+            let appointed = self.group.server_at(address);
+            let is_other = match (&self.old, &appointed) {
+                (Some(old), Some(appointed)) => old.name != appointed.name,
+                _ => false,
+            };
+            if is_other {
+                return false;
+            }
+            self.old = appointed;
+            if self.old.is_some() && self.reason == Reason::Missing {
+                // It may have been found by others, so it is not demoted.
+                self.reason = Reason::Silent;
+            }
+        }
+        self.believe(self.old.as_ref());
+        true
+    }
+
+    /// Makes a server the only one whose claim to lead this instance believes.
+    fn believe(&self, server: Option<&Arc<Server>>) {
+        let address = server.map(|server| lock(&server.entry).address);
+        self.group
+            .change_leader_lease(|lease| lease.set_candidate(address));
+    }
+
+    /// Gives up this instance's leader lease and finds out who else may hold one.
+    async fn open_revocation(&mut self, claim: &Claim) {
+        let recorded = self.node.now();
+        self.group.revoke_leader_lease(claim.lease.token);
+        let list = self.node.dependencies.table.list(ROW_PREFIX);
+        let registered = match timeout(TABLE_TIMEOUT, list).await {
+            Ok(Ok(rows)) => Some(rate::registered(&rows)),
+            failed => {
+                log::info!(
+                    "event=instances-unread group={} why=\"{failed:?}\"",
+                    self.group.name
+                );
+                None
+            }
+        };
+        let others = registered.map(|mut registered| {
+            registered.remove(&self.node.options.name);
+            registered
+        });
+        let names = others
+            .as_ref()
+            .map(|others| others.keys().cloned().collect());
+        self.instances = others.unwrap_or_default();
+        self.revocation = Some(Revocation::open(recorded, names));
+    }
+
+    /// Asks the instances that may still rely on the old leader to stop.
+    async fn revoke_leases(&mut self, token: u64) {
+        let Some(revocation) = &mut self.revocation else {
+            return;
+        };
+        if revocation.has_ended(self.node.now()) {
+            return;
+        }
+        let mut awaited = self.instances.clone();
+        awaited.retain(|name, _| revocation.awaited().contains(name));
+        let given_up = self
+            .node
+            .peers
+            .revoke_leader_lease(
+                self.node,
+                &self.group.name,
+                token,
+                &awaited,
+                REVOCATION_TIMEOUT,
+            )
+            .await;
+        for name in given_up {
+            revocation.on_given_up(&name);
+        }
+    }
+
+    /// Returns whether no instance relies on the old leader any more.
+    fn is_unused(&self, survey: &Survey) -> bool {
+        // A demoted primary refuses statements.
+        let is_demoted = survey.demoted.is_some();
+        let revocation = self.revocation.as_ref();
+        is_demoted || revocation.is_none_or(|revocation| revocation.has_ended(self.node.now()))
+    }
+
+    /// Records the new leader, which lets the instances rely on it.
+    async fn appoint(&self, claim: &mut Claim, leader: &Arc<str>) {
+        let server = self.group.server(leader);
+        if let Some(server) = server {
+            claim.lease.leader = Some(lock(&server.entry).address);
+        }
+        claim.lease.requested = None;
+        if !self.is_unchecked() {
+            return;
+        }
+        for _ in 0..ATTEMPTS_MAX {
+            if claim.renew(self.node, self.group, Phase::Appointed).await {
+                return;
+            }
+            if !claim.is_current(self.node.now()) {
+                return;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
     }
 
     /// Finishes a replacement whose holder died, in a group that has a leader: replicas may be left
@@ -169,7 +316,7 @@
             }
             Takeover::Acquired(claim) => claim,
         };
-        let leader = self.recovered_primary(&claim).await;
+        let leader = self.recovered_primary(&mut claim).await;
         log::info!(
             "event=failover-finished group={} leader={} token={}",
             self.group.name,
@@ -185,11 +332,16 @@
     /// Writes the outcome to the lease. An unsettled failover may have left a pending promotion and
     /// paused replicas, so it stays `Working` for the next holder to see.
     async fn release(&self, claim: &mut Claim, is_settled: bool) {
+        let is_unchanged = self.is_unchecked() && claim.lease.requested.is_none();
         let phase = if is_settled {
             Phase::Done
         } else {
             lock(&self.group.recheck).on_replacement(self.node.now());
-            Phase::Working
+            // Without a request for a promotion the leader can't have changed.
+            match is_unchanged {
+                true => Phase::Appointed,
+                false => Phase::Working,
+            }
         };
         claim.renew(self.node, self.group, phase).await;
     }
@@ -221,29 +373,32 @@
             {
                 return Some(old);
             }
+            self.revoke_leases(claim.lease.token).await;
             self.collect(&mut survey).await;
-            if let Some(leader) = self.other_leader() {
+            if !self.is_unchecked()
+                && let Some(leader) = self.other_leader()
+            {
                 return Some(leader);
             }
-            match survey.choose() {
+            let choice = match self.requested_earlier(claim) {
+                Some(server) => Choice::Promote(server),
+                None => survey.choose(),
+            };
+            match choice {
+                Choice::Promote(_) if !self.is_unused(&survey) => {
+                    self.log_wait(attempt, "an instance may rely on the old leader", &survey);
+                }
                 Choice::Promote(chosen) => {
                     log::info!(
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
                         self.group.name
                     );
                     self.promote(claim, &chosen).await?;
+                    self.believe(self.group.server(&chosen).as_ref());
                     self.wait_for_leader(&chosen).await;
-                    self.announce(&chosen).await;
                     return Some(chosen);
                 }
-                Choice::Wait { why } => {
-                    if attempt == 1 || attempt % ATTEMPTS_PER_LOG_LINE == 0 {
-                        log::info!(
-                            "event=failover-waits group={} why=\"{why}\" survey=\"{survey:?}\"",
-                            self.group.name
-                        );
-                    }
-                }
+                Choice::Wait { why } => self.log_wait(attempt, why, &survey),
             }
             if self.node.now() >= renewed + LEASE_RENEWAL_PERIOD {
                 renewed = self.node.now();
@@ -256,20 +411,48 @@
         None
     }
 
+    /// Logs that a replacement waits, once per several attempts.
+    fn log_wait(&self, attempt: u32, why: &str, survey: &Survey) {
+        if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
+            log::info!(
+                "event=failover-waits group={} why=\"{why}\" survey=\"{survey:?}\"",
+                self.group.name
+            );
+        }
+    }
+
+    /// Returns the server whose promotion an earlier holder requested: it may take effect at any
+    /// time, and nothing but another promotion of the same server is safe until then.
+    fn requested_earlier(&self, claim: &Claim) -> Option<Arc<str>> {
+        let requested = claim.lease.requested.as_ref()?;
+        let server = self.group.server(requested)?;
+        self.is_unchecked().then(|| Arc::clone(&server.name))
+    }
+
     /// Returns the old primary if it leads again.
     ///
     /// If an earlier promotion may still be pending, the old primary is promoted again with the new
     /// token. That changes nothing at the server, but has the earlier promotion rejected before the
     /// replicas resume. Otherwise no promotion is requested: it takes effect with a delay and would
     /// reinstate the server even if it had been demoted meanwhile.
-    async fn recovered_primary(&self, claim: &Claim) -> Option<Arc<str>> {
+    async fn recovered_primary(&self, claim: &mut Claim) -> Option<Arc<str>> {
         let old = self.old.as_ref()?;
+        if self
+            .requested_earlier(claim)
+            .is_some_and(|requested| requested != old.name)
+        {
+            return None;
+        }
         let probed = self.node.now();
         task::leader::probe(self.node, self.group, old).await;
         if lock(&self.group.leadership).proven_at() < probed {
             return None;
         }
-        if claim.may_have_pending_promotion() {
+        let is_pending = match self.is_unchecked() {
+            true => claim.lease.requested.is_some(),
+            false => claim.may_have_pending_promotion(),
+        };
+        if is_pending {
             self.promote(claim, &old.name).await?;
             // Keeps the lease until the promotion has taken effect.
             sleep(PROMOTION_SETTLE_TIME).await;
@@ -330,8 +513,7 @@
             let name = Arc::clone(&server.name);
             self.term = self.term.max(status.term).max(status.paused_term);
             if status.role == Role::Primary {
-                // It leads in a term that this instance doesn't know yet.
-                task::leader::probe(self.node, self.group, server).await;
+                self.on_other_primary(server, term).await;
             } else if is_old {
                 survey.demoted = Some((name, status.received));
             } else if status.paused_term > 0 {
@@ -342,6 +524,22 @@
         }
     }
 
+    /// Handles a server other than the old primary that acts as primary.
+    async fn on_other_primary(&mut self, server: &Arc<Server>, term: u64) {
+        if self.is_unchecked() && self.old.is_none() && !self.was_replaced {
+            // The group has had no other primary, so this one only was not found.
+            self.old = Some(Arc::clone(server));
+            self.reason = Reason::Silent;
+            self.believe(Some(server));
+        } else if self.is_unchecked() {
+            // It has been replaced and was not demoted yet.
+            self.run_command(server, &Statement::Demote { term }).await;
+        } else {
+            // It leads in a term that this instance doesn't know yet.
+            task::leader::probe(self.node, self.group, server).await;
+        }
+    }
+
     /// Pauses a departed server and returns its position, or finds that it has stopped.
     async fn stop_departed(
         &self,
@@ -372,7 +570,13 @@
     }
 
     /// Requests a promotion until it is confirmed; `None` if it is rejected or never confirmed.
-    async fn promote(&self, claim: &Claim, server: &Arc<str>) -> Option<()> {
+    async fn promote(&self, claim: &mut Claim, server: &Arc<str>) -> Option<()> {
+        if self.is_unchecked() {
+            claim.lease.requested = Some(Arc::clone(server));
+            if !claim.renew(self.node, self.group, Phase::Working).await {
+                return None;
+            }
+        }
         let order = Order {
             group: Arc::clone(&self.group.name),
             server: Arc::clone(server),
@@ -380,6 +584,13 @@
             token: claim.lease.token,
         };
         for _ in 0..ATTEMPTS_MAX {
+            if self.is_unchecked()
+                && !claim.is_current(self.node.now())
+                && !claim.renew(self.node, self.group, Phase::Working).await
+            {
+                // Another instance may have taken over and requested a promotion.
+                return None;
+            }
             let given = timeout(
                 PROMOTION_TIMEOUT,
                 self.node.dependencies.promoter.promote(&order),
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -20,9 +21,12 @@
 use crate::failover::Departures;
 use crate::failover::Detector;
 use crate::failover::Recheck;
+use crate::group::Appointment;
 use crate::group::Health;
+use crate::group::LeaderLease;
 use crate::group::Leadership;
 use crate::group::Server;
+use crate::node::Fencing;
 use crate::node::lock;
 use crate::pool::Pool;
 use crate::settings;
@@ -63,6 +67,9 @@
     pub settings: Mutex<settings::Group>,
     /// What is known of its leader.
     pub leadership: Mutex<Leadership>,
+    /// The lease under which this instance relies on the leader; `None` where a replaced primary
+    /// refuses statements by itself.
+    leader_lease: Option<Mutex<LeaderLease>>,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
     /// Servers whose entries were removed, by id; they may still hold commits.
@@ -88,6 +95,7 @@
     pub fn open(
         name: &Arc<str>,
         settings: settings::Group,
+        fencing: Fencing,
         connector: Arc<dyn Connector>,
         clock: Arc<dyn Clock>,
     ) -> Arc<Self> {
@@ -95,6 +103,7 @@
             name: Arc::clone(name),
             settings: Mutex::new(settings),
             leadership: Mutex::default(),
+            leader_lease: (fencing == Fencing::Unchecked).then(Mutex::default),
             servers: Mutex::default(),
             removed: Mutex::default(),
             changed: Notify::new(),
@@ -305,8 +314,21 @@
     }
 
     /// Applies a reply that only a leader can give, to a request sent at `sent`.
-    pub fn on_proof(&self, sent: Time, server: &Arc<str>, position: Position) {
-        let is_new = lock(&self.leadership).on_proof(sent, server, position);
+    ///
+    /// Returns whether the server was the only leader when it replied.
+    pub fn on_proof(&self, sent: Time, server: &Arc<str>, position: Position) -> bool {
+        if !self.admits(server) {
+            return false;
+        }
+        let is_only_leader = self.holds_leader_lease();
+        let is_new = {
+            let mut leadership = lock(&self.leadership);
+            if is_only_leader {
+                leadership.on_proof(sent, server, position)
+            } else {
+                leadership.on_claim(sent, server, position)
+            }
+        };
         self.is_leader_unreachable.store(false, Ordering::Relaxed);
         if is_new {
             log::info!(
@@ -315,6 +337,75 @@
             );
             self.changed.notify_waiters();
         }
+        is_only_leader
+    }
+
+    /// Returns whether a server that acts as primary can be the current one.
+    pub fn admits(&self, server: &str) -> bool {
+        let Some(lease) = &self.leader_lease else {
+            return true;
+        };
+        let address = self
+            .server(server)
+            .map(|server| lock(&server.entry).address);
+        address.is_some_and(|address| lock(lease).admits(address))
+    }
+
+    /// Returns whether this instance may rely on the leader's replies.
+    pub fn holds_leader_lease(&self) -> bool {
+        let Some(lease) = &self.leader_lease else {
+            return true;
+        };
+        lock(lease).is_held(self.clock.now())
+    }
+
+    /// Returns whether this instance can't find out at present who leads.
+    pub fn is_leader_lease_expired(&self) -> bool {
+        let Some(lease) = &self.leader_lease else {
+            return false;
+        };
+        lock(lease).is_expired(self.clock.now())
+    }
+
+    /// Changes the leader lease, if there is one.
+    pub fn change_leader_lease(&self, change: impl FnOnce(&mut LeaderLease)) {
+        if let Some(lease) = &self.leader_lease {
+            change(&mut lock(lease));
+        }
+    }
+
+    /// Applies the appointment that a table call begun at `begun` returned.
+    pub fn on_appointment(&self, begun: Time, appointment: Option<Appointment>) {
+        let Some(lease) = &self.leader_lease else {
+            return;
+        };
+        if !lock(lease).on_read(begun, appointment) {
+            return;
+        }
+        log::info!(
+            "event=leader-appointed group={} appointment=\"{appointment:?}\"",
+            self.name
+        );
+        if let Some(leader) = self.leader().filter(|leader| !self.admits(&leader.name)) {
+            self.on_not_leader(&leader.name);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Stops relying on the leader for the replacement with `token`.
+    pub fn revoke_leader_lease(&self, token: u64) {
+        self.change_leader_lease(|lease| lease.revoke(token));
+        if let Some(leader) = self.leader().filter(|leader| !self.admits(&leader.name)) {
+            self.on_not_leader(&leader.name);
+        }
+    }
+
+    /// Returns the server at an address.
+    pub fn server_at(&self, address: SocketAddr) -> Option<Arc<Server>> {
+        let servers = self.servers();
+        servers
+            .into_iter()
+            .find(|server| lock(&server.entry).address == address)
     }
 
     /// Applies a commit, sent at `sent`, that the leader acknowledged.
--- a/crates/relay/src/group/leadership.rs
+++ b/crates/relay/src/group/leadership.rs
@@ -66,9 +66,17 @@
         self.acknowledged
     }
 
-    /// Applies a reply that only a leader can give, to a request sent at `sent`; returns whether
-    /// the leader or its term is new.
+    /// Applies a reply that only the one leader can give, to a request sent at `sent`; returns
+    /// whether the leader or its term is new.
     pub fn on_proof(&mut self, sent: Time, server: &Arc<str>, position: Position) -> bool {
+        let is_new = self.on_claim(sent, server, position);
+        self.on_sample(sent, server, position);
+        is_new
+    }
+
+    /// Applies a reply that only a leader can give, to a request sent at `sent`, from a server that
+    /// may have been replaced before it replied; returns whether the leader or its term is new.
+    pub fn on_claim(&mut self, sent: Time, server: &Arc<str>, position: Position) -> bool {
         let is_other = self.last_server.as_ref() != Some(server);
         if position.term < self.term || (is_other && sent < self.proven_at) {
             // A late reply: another server has taken over since.
@@ -84,17 +92,22 @@
         self.server = Some(Arc::clone(server));
         self.last_server = Some(Arc::clone(server));
         self.proven_at = self.proven_at.max(sent);
+        is_new
+    }
+
+    /// Records the position in a reply to a request sent at `sent`, unless the reply is late.
+    fn on_sample(&mut self, sent: Time, server: &Arc<str>, position: Position) {
+        let is_leader = self.last_server.as_ref() == Some(server) && position.term == self.term;
         let is_sample_due = self
             .samples
             .back()
             .is_none_or(|last| sent >= last.sent + SAMPLE_SPACING && position >= last.position);
-        if is_sample_due {
+        if is_leader && is_sample_due {
             self.samples.push_back(Sample { sent, position });
         }
         if self.samples.len() > SAMPLES_KEPT {
             self.samples.pop_front();
         }
-        is_new
     }
 
     /// Returns when the latest acknowledged commit was sent.
--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -2,11 +2,15 @@
 
 mod group;
 mod health;
+mod leader_lease;
 mod leadership;
 mod server;
 
 pub use group::Group;
 pub use health::Health;
+pub use leader_lease::Appointment;
+pub use leader_lease::LEADER_LEASE;
+pub use leader_lease::LeaderLease;
 pub use leadership::Leadership;
 pub use leadership::Sample;
 pub use server::Server;
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -13,6 +13,7 @@
 pub use logger::Logger;
 pub use node::Node;
 pub use node::lock;
+pub use options::Fencing;
 pub use options::Options;
 pub use readiness::Readiness;
 pub use shares::Shares;
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -39,6 +39,7 @@
 use crate::peers::Confirmations;
 use crate::peers::Payload;
 use crate::peers::Peers;
+use crate::peers::Topics;
 use crate::session::Job;
 use crate::settings::Revision;
 use crate::settings::Route;
@@ -71,10 +72,12 @@
     pub tokens_received: Notify,
     /// Peer addresses of the other live instances, by name.
     members: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
-    /// Requests for confirmations of the settings.
-    pub confirmations: Mutex<Confirmations>,
-    /// Notified when another instance confirmed the settings.
-    pub confirmed: Notify,
+    /// Requests for confirmations that what an instance knows is current.
+    pub confirmations: Topics<Mutex<Confirmations>>,
+    /// Notified when another instance confirmed something.
+    pub confirmed: Topics<Notify>,
+    /// Notified when a group may have a new leader.
+    pub leader_appointed: Notify,
     groups: Mutex<BTreeMap<Arc<str>, Arc<Group>>>,
     /// The entries of all servers, including those whose group isn't in the settings yet.
     entries: Mutex<BTreeMap<Arc<str>, Server>>,
@@ -126,8 +129,9 @@
             limiter_due: Notify::new(),
             tokens_received: Notify::new(),
             members: Mutex::default(),
-            confirmations: Mutex::default(),
-            confirmed: Notify::new(),
+            confirmations: Topics::default(),
+            confirmed: Topics::default(),
+            leader_appointed: Notify::new(),
             groups: Mutex::default(),
             entries: Mutex::default(),
             peers,
@@ -392,6 +396,7 @@
             let group = Group::open(
                 name,
                 settings.clone(),
+                self.options.fencing,
                 Arc::clone(&self.dependencies.connector),
                 Arc::clone(&self.dependencies.clock),
             );
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -6,6 +6,17 @@
 use account::rate::Quota;
 use clock::Span;
 
+/// Who keeps a replaced primary, and a former holder of the failover lease, from acting.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fencing {
+    /// The platform rejects promotions with an old fencing token, and a replaced primary refuses
+    /// statements at once.
+    #[default]
+    Enforced,
+    /// Nobody but the instances themselves: a replaced primary goes on as such until it is demoted.
+    Unchecked,
+}
+
 /// Startup options of an instance.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -22,6 +33,8 @@
     pub key_grace: Option<Span>,
     /// The window over which the accounts' limits hold; `None` if they hold over any window.
     pub quota: Option<Quota>,
+    /// Who keeps a replaced primary from acting.
+    pub fencing: Fencing,
     /// The time limit of a graceful stop.
     pub stop_timeout: Span,
     /// The retry delay given to a caller whose statement did not run.
--- a/crates/relay/src/peers/confirmations.rs
+++ b/crates/relay/src/peers/confirmations.rs
@@ -1,4 +1,4 @@
-//! Queries between instances whether their settings are still the newest.
+//! Queries between instances whether what they know of the store's rows is still the newest.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,6 +7,7 @@
 use clock::Time;
 
 use crate::peers::Payload;
+use crate::peers::Topic;
 
 /// Another instance's query, pending until the store's next reply.
 #[derive(Clone, Copy, Debug)]
@@ -31,7 +32,7 @@
     pub revision: u64,
 }
 
-/// Queries to and from other instances whether the settings are still the newest.
+/// Queries to and from other instances whether what they know of one topic is still the newest.
 ///
 /// An instance responds to a query once the store next replies to it. The response says how long
 /// before or after the query's arrival the call to the store began, so that a delayed datagram can
@@ -87,12 +88,18 @@
 
     /// Returns the responses to all pending queries once the store has confirmed `revision` by a
     /// call that began at `begun`.
-    pub fn on_confirmed(&mut self, begun: Time, revision: u64) -> Vec<(SocketAddr, Payload)> {
+    pub fn on_confirmed(
+        &mut self,
+        topic: Topic,
+        begun: Time,
+        revision: u64,
+    ) -> Vec<(SocketAddr, Payload)> {
         std::mem::take(&mut self.pending)
             .into_iter()
             .map(|(address, pending)| {
                 let response = Payload::Confirmed {
                     id: pending.id,
+                    topic,
                     revision,
                     since_ms: signed_ms(pending.received, begun),
                 };
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::peers::Topic;
+
 /// An acknowledged commit younger than this shows that commits aren't stuck; a stuck one is older.
 const RECENT_COMMIT_AGE_MS: u64 = 700;
 
@@ -33,21 +35,39 @@
     },
     /// The sender's load in statements answered per second.
     Load(u64),
-    /// Requests the next confirmation of the settings by the store.
+    /// Requests the next confirmation by the store.
     GetConfirmation {
         /// Returned with the response.
         id: u64,
+        /// What is to be confirmed.
+        topic: Topic,
     },
-    /// Reports that the store confirmed the settings.
+    /// Reports what the store confirmed.
     Confirmed {
         /// The number of the query.
         id: u64,
-        /// The newest revision.
+        /// What was confirmed.
+        topic: Topic,
+        /// The newest revision of the settings, or the version of the leaders' rows.
         revision: u64,
         /// Milliseconds from the arrival of the query to the start of the call by which the store
         /// confirmed the revision; negative if the call began first.
         since_ms: i64,
     },
+    /// Requests that the receiver stops relying on a group's leader, which is being replaced.
+    RevokeLeaderLease {
+        /// Returned with the response.
+        id: u64,
+        /// The group.
+        group: Arc<str>,
+        /// The fencing token of the replacement.
+        token: u64,
+    },
+    /// Confirms that the sender stopped relying on a group's leader.
+    LeaderLeaseRevoked {
+        /// The number of the request.
+        id: u64,
+    },
     /// Announces a group's new leader.
     NewLeader {
         /// The group.
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod confirmations;
 mod datagram;
 mod peers;
+mod topic;
 
 pub use confirmations::Confirmation;
 pub use confirmations::Confirmations;
@@ -11,3 +12,5 @@
 pub use datagram::View;
 pub use peers::Peers;
 pub use peers::run;
+pub use topic::Topic;
+pub use topic::Topics;
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -43,8 +43,10 @@
     /// Derived from the fleet's secret; until that is known, nothing is sent or accepted.
     seal: OnceLock<Authenticator>,
     next_query: AtomicU64,
-    /// Outstanding queries by number.
+    /// Outstanding queries for views, by number.
     queries: Mutex<BTreeMap<u64, mpsc::Sender<View>>>,
+    /// Outstanding requests to give up a leader lease, by number; the names of those that did.
+    revocations: Mutex<BTreeMap<u64, mpsc::Sender<Arc<str>>>>,
 }
 
 impl Peers {
@@ -63,6 +65,7 @@
             seal: OnceLock::new(),
             next_query: AtomicU64::new(1),
             queries: Mutex::default(),
+            revocations: Mutex::default(),
         })
     }
 
@@ -119,6 +122,38 @@
         lock(&self.queries).remove(&id);
         views
     }
+
+    /// Asks instances to stop relying on a group's leader, and returns those that confirmed it
+    /// within `wait`.
+    pub async fn revoke_leader_lease(
+        &self,
+        node: &Node,
+        group: &Arc<str>,
+        token: u64,
+        instances: &BTreeMap<Arc<str>, SocketAddr>,
+        wait: Duration,
+    ) -> Vec<Arc<str>> {
+        let id = self.next_query.fetch_add(1, Ordering::Relaxed);
+        let (sender, mut receiver) = mpsc::channel(instances.len().max(1));
+        lock(&self.revocations).insert(id, sender);
+        for address in instances.values() {
+            let payload = Payload::RevokeLeaderLease {
+                id,
+                group: Arc::clone(group),
+                token,
+            };
+            self.send(node, *address, payload).await;
+        }
+        let deadline = Instant::now() + wait;
+        let mut given_up = Vec::new();
+        while given_up.len() < instances.len()
+            && let Ok(Some(name)) = tokio::time::timeout_at(deadline, receiver.recv()).await
+        {
+            given_up.push(name);
+        }
+        lock(&self.revocations).remove(&id);
+        given_up
+    }
 }
 
 /// Receives and handles datagrams until the process ends.
@@ -177,22 +212,38 @@
         Payload::Load(load) => {
             lock(&node.shares).on_report(node.now(), &datagram.from, load);
         }
-        Payload::GetConfirmation { id } => {
-            lock(&node.confirmations).on_query(node.now(), address, id);
+        Payload::GetConfirmation { id, topic } => {
+            lock(node.confirmations.get(topic)).on_query(node.now(), address, id);
         }
         Payload::Confirmed {
             id,
+            topic,
             revision,
             since_ms,
         } => {
-            if lock(&node.confirmations).on_response(id, revision, since_ms) {
-                node.confirmed.notify_one();
+            if lock(node.confirmations.get(topic)).on_response(id, revision, since_ms) {
+                node.confirmed.get(topic).notify_one();
+            }
+        }
+        Payload::RevokeLeaderLease { id, group, token } => {
+            if let Some(group) = node.group(&group) {
+                group.revoke_leader_lease(token);
+            }
+            let payload = Payload::LeaderLeaseRevoked { id };
+            node.peers.send(node, address, payload).await;
+        }
+        Payload::LeaderLeaseRevoked { id } => {
+            let sender = lock(&node.peers.revocations).get(&id).cloned();
+            let is_taken = sender.is_some_and(|sender| sender.try_send(datagram.from).is_ok());
+            if !is_taken {
+                log::debug!("event=revocation-late from={address}");
             }
         }
         Payload::NewLeader { group, server } => {
             let Some(group) = node.group(&group) else {
                 return;
             };
+            node.leader_appointed.notify_one();
             if let Some(server) = group.server(&server) {
                 let node = Arc::clone(node);
                 tokio::spawn(async move { task::leader::probe(&node, &group, &server).await });
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -76,6 +76,7 @@
     ));
     tasks.spawn(task::follow_revisions(Arc::clone(&node)));
     tasks.spawn(task::follow_servers(Arc::clone(&node)));
+    tasks.spawn(task::follow_appointments(Arc::clone(&node)));
     tasks.spawn(task::load_secret(Arc::clone(&node)));
     tasks.spawn(task::run_limiter(Arc::clone(&node)));
     tasks.spawn(peers::run(Arc::clone(&node)));
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -72,12 +72,19 @@
             Destination::Server(server, floor)
         });
     }
-    match job.group.leader() {
-        Some(leader) if !tried.contains(&leader.name) => Destination::Leader(leader),
-        _ => Destination::Unavailable,
+    match leader_destination(job) {
+        Destination::Leader(leader) if tried.contains(&leader.name) => Destination::Unavailable,
+        destination => destination,
     }
 }
 
+/// Returns the leader as the destination if this instance may rely on its replies.
+pub fn leader_destination(job: &Job<'_>) -> Destination {
+    let leader = job.group.leader();
+    let leader = leader.filter(|_| job.group.holds_leader_lease());
+    leader.map_or(Destination::Unavailable, Destination::Leader)
+}
+
 /// Runs a read; since it changes nothing, it may be retried at other servers.
 pub async fn run(job: &Job<'_>) -> Reply {
     let mut tried = BTreeSet::new();
@@ -90,7 +97,8 @@
             Destination::Server(server, floor) => (server, Some(floor)),
             Destination::Leader(server) => (server, None),
             Destination::Unavailable => {
-                if let Some(failure) = cut_off_failure(job, false) {
+                let failure = cut_off_failure(job, false).or_else(|| unleased_failure(job, false));
+                if let Some(failure) = failure {
                     return Reply::failed(failure, State::Idle);
                 }
                 if is_overloaded {
@@ -202,7 +210,10 @@
     };
     match (&proof.outcome, proof.position) {
         (Ok(_), Some(position)) => {
-            job.group.on_proof(sent, &server.name, position);
+            if !job.group.on_proof(sent, &server.name, position) {
+                let why = "the server may have been replaced";
+                return Err(Refusal::Retryable(why.to_owned()));
+            }
             Ok(reply)
         }
         _ => {
@@ -228,6 +239,19 @@
     Some(not_run(job, why))
 }
 
+/// Returns a failure if the statement needs the leader and this instance can't find out whether it
+/// was replaced.
+pub fn unleased_failure(job: &Job<'_>, needs_leader: bool) -> Option<Failure> {
+    if !job.group.is_leader_lease_expired() {
+        return None;
+    }
+    if !needs_leader && floor(job, job.arrived).is_some() {
+        return None;
+    }
+    let why = "this instance can't find out whether the group's primary was replaced";
+    Some(not_run(job, why))
+}
+
 /// Returns the failure of a statement that did not run.
 pub fn not_run(job: &Job<'_>, why: &str) -> Failure {
     Failure::not_run(why, job.node.options.retry_after)
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -206,15 +206,15 @@
                     "no server could begin the transaction in time",
                 ));
             }
-            if let Some(failure) = read::cut_off_failure(job, !may_use_replica) {
+            let failure = read::cut_off_failure(job, !may_use_replica)
+                .or_else(|| read::unleased_failure(job, !may_use_replica));
+            if let Some(failure) = failure {
                 return Err(failure);
             }
             let destination = if may_use_replica {
                 read::destination(job, &tried)
             } else {
-                job.group
-                    .leader()
-                    .map_or(read::Destination::Unavailable, read::Destination::Leader)
+                read::leader_destination(job)
             };
             let (server, floor) = match destination {
                 read::Destination::Server(server, floor) => (server, Some(floor)),
@@ -279,8 +279,11 @@
         };
         match (reply.code(), reply.position) {
             (None, position) => {
-                if let (None, Some(position)) = (floor, position) {
-                    self.group.on_proof(sent, &server.name, position);
+                if let (None, Some(position)) = (floor, position)
+                    && !self.group.on_proof(sent, &server.name, position)
+                {
+                    let why = "the server may have been replaced";
+                    return Err(Refusal::Retryable(why.to_owned()));
                 }
                 Ok(connection)
             }
--- /dev/null
+++ b/crates/relay/src/task/appointments.rs
@@ -0,0 +1,103 @@
+//! Follows the groups' appointed leaders and keeps the leader leases.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::Time;
+use store::Row;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::failover::Lease;
+use crate::node::Fencing;
+use crate::node::Node;
+use crate::node::lock;
+use crate::peers::Topic;
+use crate::task::confirmation;
+
+/// How often the store is read. Each read extends the leader leases.
+const READ_PERIOD: Duration = Duration::from_millis(700);
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Maximum wait for the store.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum wait for another instance's response, which comes after its next read.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Minimum time between two queries.
+const QUERY_PERIOD_MIN: Duration = Duration::from_millis(400);
+
+/// Follows the appointments until the process ends; returns at once where leaders need no lease.
+pub async fn run(node: Arc<Node>) {
+    if node.options.fencing == Fencing::Enforced {
+        return;
+    }
+    let mut known = None;
+    loop {
+        let poller = confirmation::choose_poller(&node, Topic::Leaders);
+        known = match (known, poller) {
+            (Some(version), Some(poller)) => query_peer(&node, poller, version).await,
+            _ => read_store(&node, known.is_some()).await,
+        };
+    }
+}
+
+/// Reads the rows, after a pause unless they are unknown; returns their version, `None` if the
+/// call failed.
+async fn read_store(node: &Arc<Node>, is_known: bool) -> Option<u64> {
+    if is_known {
+        // A new leader is used only once its row has been read.
+        let _elapsed = timeout(READ_PERIOD, node.leader_appointed.notified()).await;
+    }
+    let begun = node.now();
+    let list = node.dependencies.table.list(Lease::PREFIX);
+    let rows = match timeout(READ_TIMEOUT, list).await {
+        Ok(Ok(rows)) => rows,
+        failed => {
+            log::debug!("event=appointments-unread why=\"{failed:?}\"");
+            sleep(RETRY_PAUSE).await;
+            return None;
+        }
+    };
+    let version = rows.iter().map(|row| row.version).max().unwrap_or_default();
+    apply(node, begun, &rows);
+    confirmation::respond(node, Topic::Leaders, begun, version).await;
+    Some(version)
+}
+
+/// Queries another instance whether `version` is still the newest; returns it if so.
+async fn query_peer(node: &Arc<Node>, address: SocketAddr, version: u64) -> Option<u64> {
+    let begun = Instant::now();
+    let answer = tokio::select! {
+        answer = confirmation::query(node, address, Topic::Leaders, PEER_TIMEOUT) => answer?,
+        () = node.leader_appointed.notified() => return None,
+    };
+    if answer.revision != version {
+        return None;
+    }
+    let until = lock(&node.limiter).registered_until();
+    for group in node.groups() {
+        group.change_leader_lease(|lease| {
+            lease.set_registered_until(until);
+            lease.on_confirmed(answer.at);
+        });
+    }
+    let pause = QUERY_PERIOD_MIN.saturating_sub(begun.elapsed());
+    match timeout(pause, node.leader_appointed.notified()).await {
+        Ok(()) => None,
+        Err(_) => Some(version),
+    }
+}
+
+fn apply(node: &Node, begun: Time, rows: &[Row]) {
+    let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (&*row.key, row)).collect();
+    let until = lock(&node.limiter).registered_until();
+    for group in node.groups() {
+        let row = rows.get(&*Lease::key(&group.name));
+        let lease = row.and_then(|row| Lease::parse(row));
+        group.change_leader_lease(|lease| lease.set_registered_until(until));
+        group.on_appointment(begun, lease.map(|lease| lease.appointment()));
+    }
+}
--- a/crates/relay/src/task/leader.rs
+++ b/crates/relay/src/task/leader.rs
@@ -47,6 +47,9 @@
 /// Probes the servers until one proves its leadership, starting with those registered as primary.
 async fn find_leader(node: &Arc<Node>, group: &Arc<Group>) {
     for server in group.leader_candidates() {
+        if !group.admits(&server.name) {
+            continue;
+        }
         probe(node, group, &server).await;
         if group.leader().is_some() {
             return;
@@ -83,7 +86,9 @@
             connection.release();
             let begin = &replies[0];
             match (begin.code(), begin.position) {
-                (None, Some(position)) => group.on_proof(sent, &server.name, position),
+                (None, Some(position)) => {
+                    group.on_proof(sent, &server.name, position);
+                }
                 (Some(Code::ReadOnly), _) => group.on_not_leader(&server.name),
                 _ => {}
             }
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -1,6 +1,8 @@
 //! Background tasks of an instance.
 
+mod appointments;
 mod call;
+mod confirmation;
 mod follower;
 pub mod leader;
 mod limiter;
@@ -8,6 +10,7 @@
 mod secret;
 mod servers;
 
+pub use appointments::run as follow_appointments;
 pub use limiter::policy as rate_policy;
 pub use limiter::release_slices;
 pub use limiter::run as run_limiter;
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -5,16 +5,14 @@
 use std::time::Duration;
 
 use clock::Time;
-use membership::rendezvous_order;
-use rand::seq::IteratorRandom;
 use store::Batch;
 use store::Change;
-use tokio::time::timeout;
 
 use crate::node::Node;
 use crate::node::lock;
-use crate::peers::Payload;
+use crate::peers::Topic;
 use crate::settings::Revision;
+use crate::task::confirmation;
 use crate::task::follower::Follower;
 
 /// How long the store holds a call that waits for changes. Each reply confirms that the keys are in
@@ -24,20 +22,12 @@
 /// Maximum wait for another instance's response: `LONG_POLL_WAIT` plus time for a slow store and
 /// the network. Losing one query must not take an instance out of rotation.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_700);
-/// Minimum number of instances that poll the store; the others query these.
-const POLLERS_MIN: usize = 2;
-/// One further instance polls the store per this many instances.
-const INSTANCES_PER_POLLER: usize = 16;
-
-/// Key by which instances are ranked to choose those that poll the store.
-const RANK_KEY: &str = "settings";
-
 /// Follows the settings until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut follower = Follower::open(&node.dependencies.revisions, "settings");
     let mut is_known = false;
     loop {
-        let poller = choose_poller(&node).filter(|_| is_known);
+        let poller = confirmation::choose_poller(&node, Topic::Settings).filter(|_| is_known);
         let Some(poller) = poller else {
             is_known = poll_store(&node, &mut follower).await;
             continue;
@@ -50,18 +40,6 @@
     }
 }
 
-/// Chooses an instance that polls the store; `None` if this instance is one of them.
-fn choose_poller(node: &Node) -> Option<SocketAddr> {
-    let members = node.peer_addresses();
-    let mut pollers = rendezvous_order(RANK_KEY, members.keys().chain([&node.options.name]));
-    pollers.truncate(POLLERS_MIN + pollers.len() / INSTANCES_PER_POLLER);
-    if pollers.contains(&node.options.name) {
-        return None;
-    }
-    let chosen = pollers.iter().choose(&mut rand::rng())?;
-    members.get(chosen).copied()
-}
-
 /// Polls the store for changes; returns whether it replied.
 async fn poll_store(node: &Arc<Node>, follower: &mut Follower<Revision>) -> bool {
     let mut wait = LONG_POLL_WAIT;
@@ -82,10 +60,7 @@
         apply(node, update.batch);
         let number = node.revision().number;
         confirm(node, begun, number);
-        let responses = lock(&node.confirmations).on_confirmed(begun, number);
-        for (address, response) in responses {
-            node.peers.send(node, address, response).await;
-        }
+        confirmation::respond(node, Topic::Settings, begun, number).await;
         return true;
     }
 }
@@ -93,24 +68,11 @@
 /// Queries another instance for the store's next confirmation; returns whether the settings are
 /// confirmed.
 async fn query_peer(node: &Arc<Node>, address: SocketAddr) -> bool {
-    let id = lock(&node.confirmations).query(node.now());
-    node.peers
-        .send(node, address, Payload::GetConfirmation { id })
-        .await;
-    let answered = async {
-        loop {
-            node.confirmed.notified().await;
-            if let Some(answer) = lock(&node.confirmations).take_confirmation() {
-                return answer;
-            }
-        }
-    };
     let answer = tokio::select! {
-        answer = timeout(PEER_TIMEOUT, answered) => answer,
+        answer = confirmation::query(node, address, Topic::Settings, PEER_TIMEOUT) => answer,
         () = node.key_unknown.notified() => return false,
     };
-    let Ok(answer) = answer else {
-        log::debug!("event=settings-unconfirmed peer={address}");
+    let Some(answer) = answer else {
         return false;
     };
     if answer.revision > node.revision().number {
--- a/crates/relay/tests/relay/confirmations.rs
+++ b/crates/relay/tests/relay/confirmations.rs
@@ -7,6 +7,7 @@
 use relay::peers::Confirmation;
 use relay::peers::Confirmations;
 use relay::peers::Payload;
+use relay::peers::Topic;
 use test_case::test_case;
 
 fn at(millis: u64) -> Time {
@@ -31,12 +32,13 @@
     } else {
         received + span
     };
-    let answers = responder.on_confirmed(begun, 7);
+    let answers = responder.on_confirmed(Topic::Settings, begun, 7);
     let [
         (
             to,
             Payload::Confirmed {
                 id,
+                topic: Topic::Settings,
                 revision,
                 since_ms,
             },
@@ -93,6 +95,10 @@
     responder.on_query(at(0), address(1), 1);
     responder.on_query(at(10), address(1), 2);
     responder.on_query(at(10), address(2), 5);
-    assert_eq!(responder.on_confirmed(at(20), 7).len(), 2);
-    assert!(responder.on_confirmed(at(30), 7).is_empty());
+    assert_eq!(responder.on_confirmed(Topic::Settings, at(20), 7).len(), 2);
+    assert!(
+        responder
+            .on_confirmed(Topic::Settings, at(30), 7)
+            .is_empty()
+    );
 }
--- a/crates/relay/tests/relay/lease.rs
+++ b/crates/relay/tests/relay/lease.rs
@@ -23,6 +23,8 @@
         token: 3,
         phase,
         commit_holders: BTreeSet::from([Arc::from("a"), Arc::from("b")]),
+        leader: None,
+        requested: None,
     }
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod confirmations;
 mod departures;
+mod deposed;
 mod detector;
 mod leadership;
 mod lease;
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -24,7 +24,10 @@
         account: Arc::from(""),
     };
     let health: Arc<Mutex<Health>> = Arc::default();
-    let connector = Arc::new(Dialer(Group::open()));
+    let connector = Arc::new(Dialer {
+        group: Group::open(),
+        instance: Arc::from("i1"),
+    });
     let pool = Pool::open(target, connector, health, Arc::new(System::open()));
     pool.set_limits(limit, limit);
     pool
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -280,6 +280,8 @@
         token: 3,
         phase: Phase::Working,
         commit_holders: BTreeSet::new(),
+        leader: None,
+        requested: None,
     };
     let (condition, write) = lease.compare_and_set(GROUP, None);
     let put = world.table.commit(vec![condition], vec![write]).await;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -1,6 +1,7 @@
 //! An in-memory group of three servers with synchronous replication.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -45,6 +46,8 @@
     pub(super) is_down: bool,
     /// Accepts requests and answers none.
     pub(super) is_silent: bool,
+    /// Was replaced as primary but goes on as one, on its own log.
+    pub(super) is_deposed: bool,
     pub(super) connections: usize,
 }
 
@@ -87,6 +90,10 @@
     pub(super) takeover: Option<(Arc<str>, String, String)>,
     /// The number of SET statements that succeed before one is refused.
     pub(super) sets_left: Option<usize>,
+    /// Whether a replaced primary goes on as one until it is demoted.
+    pub(super) keeps_deposed: bool,
+    /// The servers from which an instance is cut off, by instance.
+    pub(super) cuts: BTreeSet<(Arc<str>, Arc<str>)>,
 }
 
 /// A group of three servers.
@@ -136,6 +143,17 @@
         self.change(name, |server| server.is_silent = is_silent);
     }
 
+    /// Makes a replaced primary go on as one until it is demoted.
+    pub fn keep_deposed_primaries(&self) {
+        self.lock().keeps_deposed = true;
+    }
+
+    /// Cuts an instance off from a server.
+    pub fn cut(&self, instance: &str, server: &str) {
+        let cut = (Arc::from(instance), Arc::from(server));
+        self.lock().cuts.insert(cut);
+    }
+
     /// Sets whether a replica is partitioned from the primary.
     pub fn isolate(&self, name: &str, is_isolated: bool) {
         self.change(name, |server| server.is_isolated = is_isolated);
@@ -219,6 +237,16 @@
 }
 
 impl Inner {
+    /// Returns whether a server acts as primary.
+    pub(super) fn leads(&self, name: &Arc<str>) -> bool {
+        self.leader.as_ref() == Some(name) || self.servers[name].is_deposed
+    }
+
+    pub(super) fn is_cut(&self, instance: &Arc<str>, server: &Arc<str>) -> bool {
+        let cut = (Arc::clone(instance), Arc::clone(server));
+        self.cuts.contains(&cut)
+    }
+
     pub(super) fn server(&mut self, name: &str) -> &mut Server {
         self.servers.get_mut(name).expect("a server")
     }
@@ -241,7 +269,7 @@
         let mut holders = 0;
         for (name, server) in &mut self.servers {
             let receives = !server.is_down && !server.is_isolated && server.paused == 0;
-            if *name == leader || !receives {
+            if *name == leader || server.is_deposed || !receives {
                 continue;
             }
             server.log = log.clone();
@@ -258,7 +286,7 @@
 
     pub(super) fn status(&self, name: &Arc<str>) -> String {
         let server = &self.servers[name];
-        let role = match self.leader.as_ref() == Some(name) {
+        let role = match self.leads(name) {
             true => "primary",
             false => "replica",
         };
@@ -313,7 +341,12 @@
             return;
         }
         inner.term += 1;
-        inner.leader = Some(Arc::clone(chosen));
+        let former = inner.leader.replace(Arc::clone(chosen));
+        let keeps_deposed = inner.keeps_deposed;
+        if let Some(former) = former.filter(|_| keeps_deposed) {
+            inner.server(&former).is_deposed = true;
+        }
+        inner.server(chosen).is_deposed = false;
         let head = inner.servers.get_mut(chosen).expect("a server");
         head.paused = 0;
         head.applied = head.log.len();
@@ -322,6 +355,9 @@
         let missing = missing.filter(|record| !log.contains(record)).count();
         inner.lost += missing;
         for server in inner.servers.values_mut() {
+            if server.is_deposed {
+                continue;
+            }
             let common = server.log.len().min(log.len());
             server.log.truncate(common);
             server.applied = server.applied.min(common);
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -20,6 +20,7 @@
 use endpoint::Role;
 use relay::external::Caller;
 use relay::node::Dependencies;
+use relay::node::Fencing;
 use relay::node::Options;
 use relay::settings;
 use relay::settings::Freshness;
@@ -27,10 +28,15 @@
 use relay::settings::Route;
 use store::Batch;
 use store::Change;
+use store::Condition;
 use store::Delta;
 use store::Error;
 use store::Memory;
+use store::Outcome;
+use store::Row;
+use store::Table;
 use store::Watch;
+use store::Write;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -193,12 +199,74 @@
     }
 }
 
+/// The table as an instance reaches it whose datagrams no other instance accepts.
+pub struct Outpost {
+    table: Arc<Memory>,
+    is_down: AtomicBool,
+}
+
+impl Outpost {
+    fn open(table: Arc<Memory>) -> Arc<Self> {
+        Arc::new(Self {
+            table,
+            is_down: AtomicBool::new(false),
+        })
+    }
+
+    /// Makes all further calls fail.
+    pub fn cut(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        if self.is_down.load(Ordering::Relaxed) {
+            return Err(Error::Refused {
+                step: "call",
+                peer: "table".to_owned(),
+                why: "cut off".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Table for Outpost {
+    async fn get(&self, key: &str) -> Result<Option<Row>, Error> {
+        self.check()?;
+        let row = self.table.get(key).await?;
+        Ok(row.map(|row| Row {
+            // Another secret: the instances refuse each other's datagrams.
+            value: match key {
+                "fleet/secret" => Arc::from("\"other\""),
+                _ => row.value,
+            },
+            ..row
+        }))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Row>, Error> {
+        self.check()?;
+        self.table.list(prefix).await
+    }
+
+    async fn commit(
+        &self,
+        conditions: Vec<Condition>,
+        writes: Vec<Write>,
+    ) -> Result<Outcome, Error> {
+        self.check()?;
+        self.table.commit(conditions, writes).await
+    }
+}
+
 /// The group, the platform and the state that instances share.
 pub struct World {
     pub group: Arc<Group>,
     pub table: Arc<Memory>,
     pub revisions: Arc<Rows<Revision>>,
     pub servers: Arc<Rows<settings::Server>>,
+    fencing: Fencing,
     /// The peer address of each instance, which is the same after a restart.
     peers: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
 }
@@ -211,6 +279,7 @@
             table: Memory::open(),
             revisions: Rows::open(),
             servers: Rows::open(),
+            fencing: Fencing::Enforced,
             peers: Mutex::default(),
         };
         world.set_revision(revision(1));
@@ -220,6 +289,16 @@
         world
     }
 
+    /// Opens a world in which a replaced primary goes on as such until it is demoted.
+    pub fn open_unchecked() -> Self {
+        let world = Self {
+            fencing: Fencing::Unchecked,
+            ..Self::open()
+        };
+        world.group.keep_deposed_primaries();
+        world
+    }
+
     /// Replaces the current revision of the settings.
     pub fn set_revision(&self, revision: Revision) {
         self.revisions.change(|rows| {
@@ -271,7 +350,21 @@
         *peers.entry(Arc::from(name)).or_insert_with(free_udp)
     }
 
+    /// Starts an instance that exchanges no datagrams with the others, and waits until it serves.
+    pub async fn start_apart(&self, name: &str) -> (Instance, Arc<Outpost>) {
+        let outpost = Outpost::open(Arc::clone(&self.table));
+        let table: Arc<Outpost> = Arc::clone(&outpost);
+        let instance = self.start_on(name, None, table);
+        instance.wait().await;
+        (instance, outpost)
+    }
+
     fn start_with(&self, name: &str, key_grace: Option<Span>) -> Instance {
+        let table: Arc<Memory> = Arc::clone(&self.table);
+        self.start_on(name, key_grace, table)
+    }
+
+    fn start_on(&self, name: &str, key_grace: Option<Span>, table: Arc<dyn Table>) -> Instance {
         let options = Options {
             name: Arc::from(name),
             zone: Arc::from("z"),
@@ -279,15 +372,19 @@
             ready: SocketAddr::from(([127, 0, 0, 1], 0)),
             key_grace,
             quota: None,
+            fencing: self.fencing,
             stop_timeout: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
         let promoter: Arc<Group> = Arc::clone(&self.group);
         let clock = SuspendableClock::open();
         let dependencies = Dependencies {
-            connector: Arc::new(Dialer(Arc::clone(&self.group))),
+            connector: Arc::new(Dialer {
+                group: Arc::clone(&self.group),
+                instance: Arc::from(name),
+            }),
             promoter,
-            table: self.table.clone(),
+            table,
             revisions: self.revisions.clone(),
             servers: self.servers.clone(),
             clock: Arc::<SuspendableClock>::clone(&clock),
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -30,6 +30,7 @@
 /// One connection to one server.
 struct Link {
     group: Arc<Group>,
+    instance: Arc<str>,
     server: Arc<str>,
     account: Arc<str>,
     values: BTreeMap<Arc<str>, Arc<str>>,
@@ -50,10 +51,16 @@
         }
     }
 
+    /// Returns whether the server answers nothing on this connection.
+    fn is_silent(&self) -> bool {
+        let inner = self.group.lock();
+        inner.servers[&self.server].is_silent || inner.is_cut(&self.instance, &self.server)
+    }
+
     fn run(&mut self, request: &Request) -> Option<Reply> {
         let group = Arc::clone(&self.group);
         let mut inner = group.lock();
-        let is_leader = inner.leader.as_ref() == Some(&self.server);
+        let is_leader = inner.leads(&self.server);
         let mut rows = Vec::new();
         let mut outcome: Result<(), Code> = Ok(());
         let definition = match &request.statement {
@@ -144,7 +151,8 @@
     fn end(&mut self, inner: &mut Inner) -> Result<(), Code> {
         self.state = State::Idle;
         let writes = std::mem::take(&mut self.writes);
-        if writes.is_empty() || inner.commit(&writes) {
+        let is_deposed = inner.servers[&self.server].is_deposed;
+        if writes.is_empty() || (!is_deposed && inner.commit(&writes)) {
             return Ok(());
         }
         Err(Code::Timeout)
@@ -191,6 +199,9 @@
                 server.paused = 0;
                 server.applied = server.log.len();
             }
+            Statement::Demote { .. } if inner.servers[&self.server].is_deposed => {
+                inner.server(&self.server).is_deposed = false;
+            }
             Statement::Demote { .. } if is_leader => inner.leader = None,
             _ => {}
         }
@@ -222,7 +233,7 @@
             if self.group.lock().servers[&self.server].is_down {
                 return Err(self.broken());
             }
-            if !self.group.lock().servers[&self.server].is_silent {
+            if !self.is_silent() {
                 let reply = self.run(request);
                 self.replies.push_back(reply);
                 if request.id.is_some() {
@@ -268,8 +279,11 @@
     }
 }
 
-/// Opens connections to the servers of a group.
-pub struct Dialer(pub Arc<Group>);
+/// Opens connections to the servers of a group for one instance.
+pub struct Dialer {
+    pub group: Arc<Group>,
+    pub instance: Arc<str>,
+}
 
 #[async_trait]
 impl Connector for Dialer {
@@ -277,9 +291,10 @@
         tokio::time::sleep(STATEMENT_TIME).await;
         let server = Arc::clone(&target.server);
         let (is_down, is_silent) = {
-            let inner = self.0.lock();
+            let inner = self.group.lock();
             let state = &inner.servers[&server];
-            (state.is_down, state.is_silent)
+            let is_cut = inner.is_cut(&self.instance, &server);
+            (state.is_down, state.is_silent || is_cut)
         };
         if is_down {
             return Err(Error::NotListening {
@@ -290,9 +305,10 @@
         if is_silent {
             return std::future::pending().await;
         }
-        self.0.change(&server, |server| server.connections += 1);
+        self.group.change(&server, |server| server.connections += 1);
         Ok(Box::new(Link {
-            group: Arc::clone(&self.0),
+            group: Arc::clone(&self.group),
+            instance: Arc::clone(&self.instance),
             server,
             account: Arc::clone(&target.account),
             values: BTreeMap::new(),
