Shorten leader leases to 2.5 s and log the position of lagging replicas

A longer lease outlasts an outage of the store, a shorter one shortens the gap of writes when an instance that may read the old primary is out of reach.

--- a/crates/relay/src/group/leader_lease.rs
+++ b/crates/relay/src/group/leader_lease.rs
@@ -8,7 +8,7 @@
 /// How long an instance relies on the leader after the start of the table call that last showed
 /// no replacement of it. Longer leases outlast longer outages of the table; shorter ones let a primary
 /// be replaced sooner that is cut off together with other instances.
-pub const LEADER_LEASE: Span = Span::from_millis(3_500);
+pub const LEADER_LEASE: Span = Span::from_millis(2_500);
 
 /// The leader of a group according to the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -198,7 +198,10 @@
         Ok(_) => {}
         Err(failure) if failure.code == Code::Behind => {
             lock(&server.health).on_lagging(job.node.now());
-            return Err(Refusal::Retryable("behind the floor".to_owned()));
+            let applied = reply.position.unwrap_or_default();
+            return Err(Refusal::Retryable(format!(
+                "behind the floor, applied {applied}"
+            )));
         }
         Err(failure) if failure.code.is_not_run() => {
             return Err(Refusal::Retryable(failure.code.to_string()));
