Let few instances probe the leaders, and close idle connections where they are scarce

Two instances and one more for each 16 probe now; the others ask one of them for all positions and learn the mean load with it. Where fewer than two connections an instance exist, an unused one is closed after half of share over rate.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -109,8 +109,10 @@
         let old = self.old.as_ref().map(|old| &old.name);
         let confirming = views
             .iter()
+            .filter(|view| view.is_prober)
             .filter(|view| view.leader.is_some() && view.leader.as_ref() == old)
             .count();
+        let probers = views.iter().filter(|view| view.is_prober).count();
         let newer = views
             .iter()
             .filter(|view| view.leader.is_some() && view.leader.as_ref() != old)
@@ -122,7 +124,7 @@
                 .store(true, Ordering::Relaxed);
         }
         let is_confirmed = match self.reason {
-            Reason::Silent => confirming * 2 > views.len() + 1,
+            Reason::Silent => confirming * 2 > probers + 1,
             Reason::Stuck => views.iter().any(View::has_recent_commit),
             Reason::Leaving | Reason::Missing | Reason::Unfinished => false,
         };
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -27,6 +27,7 @@
 use crate::group::Leadership;
 use crate::group::Server;
 use crate::node::Fencing;
+use crate::node::Share;
 use crate::node::lock;
 use crate::pool::Pool;
 use crate::settings;
@@ -35,6 +36,8 @@
 /// with its log well before that.
 const REMOVED_RETENTION: Span = Span::from_secs(30);
 
+/// A leader that has not replied to this instance for this long is probed by it.
+const LEADER_SILENCE: Span = Span::from_millis(300);
 /// Concurrent statements that all instances together send to a server per slot: some run, the
 /// others are queued so that no slot falls idle.
 const STATEMENTS_PER_SLOT: usize = 4;
@@ -187,14 +190,15 @@
         self.changed.notify_waiters();
     }
 
-    /// Limits this instance to `connections` of the `total` connections to each server, and its
+    /// Limits this instance to its share of the `total` connections to each server, and its
     /// concurrent statements in proportion.
-    pub fn set_connection_share(&self, connections: usize, total: usize) {
+    pub fn set_connection_share(&self, now: Time, share: Share, total: usize) {
         for server in self.servers() {
             let slots = lock(&server.entry).slots;
-            let statements = (slots * STATEMENTS_PER_SLOT * connections).div_ceil(total.max(1));
+            let statements =
+                (slots * STATEMENTS_PER_SLOT * share.connections()).div_ceil(total.max(1));
             let statements = statements.max(STATEMENTS_MIN);
-            server.pool.set_limits(connections, statements);
+            server.pool.set_share(now, share, statements);
         }
     }
 
@@ -340,6 +344,36 @@
         is_only_leader
     }
 
+    /// Applies a leader's position that another instance obtained by a request sent at `sent`.
+    pub fn on_report(&self, sent: Time, server: &Arc<str>, position: Position) {
+        if !self.admits(server) || self.has_silent_leader() {
+            return;
+        }
+        if lock(&self.leadership).on_proof(sent, server, position) {
+            log::info!(
+                "event=leader-reported group={} server={server} position={position}",
+                self.name
+            );
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Records that another server may lead than this instance believes.
+    pub fn on_other_leader(&self, server: &str) {
+        if let Some(leader) = self.leader().filter(|leader| *leader.name != *server) {
+            self.on_not_leader(&leader.name);
+        }
+    }
+
+    /// Returns whether this instance gets no replies from the leader, whatever others report.
+    pub fn has_silent_leader(&self) -> bool {
+        let now = self.clock.now();
+        self.leader().is_some_and(|leader| {
+            let health = lock(&leader.health);
+            health.failures > 0 || health.is_silent(now, LEADER_SILENCE)
+        })
+    }
+
     /// Returns whether a server that acts as primary can be the current one.
     pub fn admits(&self, server: &str) -> bool {
         let Some(lease) = &self.leader_lease else {
--- a/crates/relay/src/group/leadership.rs
+++ b/crates/relay/src/group/leadership.rs
@@ -56,6 +56,12 @@
         self.term
     }
 
+    /// Returns the leader and its newest sample.
+    pub fn latest(&self) -> Option<(Arc<str>, Sample)> {
+        let server = self.server.as_ref()?;
+        Some((Arc::clone(server), *self.samples.back()?))
+    }
+
     /// Returns when the request was sent whose reply last proved a leader.
     pub fn proven_at(&self) -> Time {
         self.proven_at
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod node;
 mod options;
 mod readiness;
+mod share;
 mod shares;
 
 pub use dependencies::Dependencies;
@@ -16,4 +17,5 @@
 pub use options::Fencing;
 pub use options::Options;
 pub use readiness::Readiness;
+pub use share::Share;
 pub use shares::Shares;
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -39,7 +39,10 @@
 use crate::peers::Confirmations;
 use crate::peers::Payload;
 use crate::peers::Peers;
+use crate::peers::Report;
+use crate::peers::Reports;
 use crate::peers::Topics;
+use crate::peers::signed_ms;
 use crate::session::Job;
 use crate::settings::Revision;
 use crate::settings::Route;
@@ -48,6 +51,10 @@
 /// Connections reserved at each server for the failover tasks.
 const SPARE_CONNECTIONS: usize = 2;
 
+/// In fleets of this size instances learn the mean load from those that probe the leaders, as
+/// reports to all grow with the square of the fleet.
+const REPORTED_FLEET_MIN: usize = 32;
+
 /// A member list read longer ago than this doesn't tell which instances are alive.
 const MEMBERS_MAX_AGE: Span = Span::from_secs(12);
 
@@ -76,6 +83,12 @@
     pub confirmations: Topics<Mutex<Confirmations>>,
     /// Notified when another instance confirmed something.
     pub confirmed: Topics<Notify>,
+    /// Queries for reports of the leaders' positions.
+    pub reports: Mutex<Reports>,
+    /// Notified when reports arrived.
+    pub reported: Notify,
+    /// Whether another instance reports the leaders' positions, so that this one need not probe.
+    pub has_reports: AtomicBool,
     /// Notified when a group may have a new leader.
     pub leader_appointed: Notify,
     groups: Mutex<BTreeMap<Arc<str>, Arc<Group>>>,
@@ -131,6 +144,9 @@
             members: Mutex::default(),
             confirmations: Topics::default(),
             confirmed: Topics::default(),
+            reports: Mutex::default(),
+            reported: Notify::new(),
+            has_reports: AtomicBool::new(false),
             leader_appointed: Notify::new(),
             groups: Mutex::default(),
             entries: Mutex::default(),
@@ -175,6 +191,30 @@
         lock(&self.members).clone()
     }
 
+    /// Returns whether another live instance has this peer address.
+    pub fn has_peer_at(&self, address: SocketAddr) -> bool {
+        lock(&self.members).values().any(|peer| *peer == address)
+    }
+
+    /// Returns the latest positions of the leaders that this instance has probed, for a query that
+    /// arrived at `received`.
+    pub fn leader_reports(&self, received: Time) -> Vec<Report> {
+        let mut reports = Vec::new();
+        for group in self.groups() {
+            let latest = lock(&group.leadership).latest();
+            let Some((server, sample)) = latest else {
+                continue;
+            };
+            reports.push(Report {
+                group: Arc::clone(&group.name),
+                server,
+                position: sample.position,
+                since_ms: signed_ms(received, sample.sent),
+            });
+        }
+        reports
+    }
+
     /// Returns the peer address of another live instance.
     pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
         lock(&self.members).get(name).copied()
@@ -271,7 +311,7 @@
             let max_connections = lock(&group.settings).max_connections;
             let total = max_connections.saturating_sub(SPARE_CONNECTIONS);
             let share = lock(&self.shares).share(now, own, &others, total);
-            group.set_connection_share(share, total);
+            group.set_connection_share(now, share, total);
         }
     }
 
@@ -282,7 +322,8 @@
             load.step(self.metrics.statements.get());
             load.report()
         };
-        if let Some(load) = load {
+        let is_large = lock(&self.members).len() >= REPORTED_FLEET_MIN;
+        if let Some(load) = load.filter(|_| !is_large) {
             for address in self.peer_addresses().into_values() {
                 self.peers.send(self, address, Payload::Load(load)).await;
             }
--- a/crates/relay/src/peers/confirmations.rs
+++ b/crates/relay/src/peers/confirmations.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use clock::Span;
 use clock::Time;
 
 use crate::peers::Payload;
 use crate::peers::Topic;
+use crate::peers::report::offset;
+use crate::peers::report::signed_ms;
 
 /// Another instance's query, pending until the store's next reply.
 #[derive(Clone, Copy, Debug)]
@@ -65,12 +66,7 @@
         let Some(outstanding) = self.outstanding.take_if(|outstanding| outstanding.id == id) else {
             return false;
         };
-        let span = Span::from_millis(since_ms.unsigned_abs());
-        let at = if since_ms < 0 {
-            outstanding.sent - span
-        } else {
-            outstanding.sent + span
-        };
+        let at = offset(outstanding.sent, since_ms);
         self.confirmation = Some(Confirmation { at, revision });
         true
     }
@@ -108,13 +104,3 @@
             .collect()
     }
 }
-
-/// Returns the signed time from `from` to `to` in milliseconds, rounded down.
-fn signed_ms(from: Time, to: Time) -> i64 {
-    let ms = |span: Span| i64::try_from(span.as_millis()).unwrap_or(i64::MAX);
-    if to >= from {
-        ms(to.since(from))
-    } else {
-        -ms(from.since(to)) - 1
-    }
-}
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::peers::Report;
 use crate::peers::Topic;
 
 /// An acknowledged commit younger than this shows that commits aren't stuck; a stuck one is older.
@@ -68,6 +69,22 @@
         /// The number of the request.
         id: u64,
     },
+    /// Requests the leaders' positions.
+    GetReports {
+        /// Returned with the response.
+        id: u64,
+        /// The sender's load in statements answered per second.
+        load: u64,
+    },
+    /// Reports the leaders' positions; a response may consist of several of these.
+    Reports {
+        /// The number of the query.
+        id: u64,
+        /// The mean load of the instances that query the sender.
+        mean_load: u64,
+        /// The positions.
+        reports: Vec<Report>,
+    },
     /// Announces a group's new leader.
     NewLeader {
         /// The group.
@@ -87,6 +104,8 @@
 /// An instance's view of a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
+    /// Whether the instance probes leaders itself.
+    pub is_prober: bool,
     /// The leader, if one proved its leadership to the instance recently.
     pub leader: Option<Arc<str>>,
     /// The newest term known to the instance.
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod confirmations;
 mod datagram;
 mod peers;
+mod report;
 mod topic;
 
 pub use confirmations::Confirmation;
@@ -12,5 +13,8 @@
 pub use datagram::View;
 pub use peers::Peers;
 pub use peers::run;
+pub use report::Report;
+pub use report::Reports;
+pub use report::signed_ms;
 pub use topic::Topic;
 pub use topic::Topics;
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -21,7 +21,9 @@
 use crate::node::lock;
 use crate::peers::Datagram;
 use crate::peers::Payload;
+use crate::peers::Report;
 use crate::peers::View;
+use crate::peers::report::offset;
 use crate::task;
 
 /// Separates this use of the fleet's secret from other uses.
@@ -32,6 +34,10 @@
 const DATAGRAM_BYTES_MAX: usize = 1_400;
 /// Queue capacity for the views of one query; a fleet has fewer reachable instances.
 const VIEWS_MAX: usize = 64;
+/// Maximum number of reports in a datagram.
+const REPORTS_MAX: usize = 24;
+/// Age up to which another instance's load counts for the mean.
+const LOAD_AGE_MAX: Span = Span::from_secs(2);
 /// Age up to which a proof of leadership is reported in a view.
 const PROOF_AGE_MAX: Span = Span::from_millis(500);
 
@@ -239,12 +245,53 @@
                 log::debug!("event=revocation-late from={address}");
             }
         }
+        Payload::GetReports { id, load } => {
+            let received = node.now();
+            let mean_load = {
+                let own = lock(&node.load).per_second();
+                let mut reports = lock(&node.reports);
+                reports.on_load(received, address, load);
+                reports.mean_load(received, own, LOAD_AGE_MAX)
+            };
+            let reports = node.leader_reports(received);
+            let mut parts: Vec<&[Report]> = reports.chunks(REPORTS_MAX).collect();
+            if parts.is_empty() {
+                parts.push(&[]);
+            }
+            for part in parts {
+                let payload = Payload::Reports {
+                    id,
+                    mean_load,
+                    reports: part.to_vec(),
+                };
+                node.peers.send(node, address, payload).await;
+            }
+        }
+        Payload::Reports {
+            id,
+            mean_load,
+            reports,
+        } => {
+            let Some(sent) = lock(&node.reports).on_response(id) else {
+                return;
+            };
+            lock(&node.shares).on_mean(node.now(), mean_load);
+            for report in reports {
+                if let Some(group) = node.group(&report.group) {
+                    let at = offset(sent, report.since_ms);
+                    group.on_report(at, &report.server, report.position);
+                }
+            }
+            node.reported.notify_one();
+        }
         Payload::NewLeader { group, server } => {
             let Some(group) = node.group(&group) else {
                 return;
             };
             node.leader_appointed.notify_one();
-            if let Some(server) = group.server(&server) {
+            if node.has_reports.load(Ordering::Relaxed) {
+                group.on_other_leader(&server);
+            } else if let Some(server) = group.server(&server) {
                 let node = Arc::clone(node);
                 tokio::spawn(async move { task::leader::probe(&node, &group, &server).await });
             }
@@ -263,6 +310,7 @@
     let leadership = lock(&group.leadership);
     let is_recent = leadership.proven_at() + PROOF_AGE_MAX >= node.now();
     View {
+        is_prober: !node.has_reports.load(Ordering::Relaxed),
         leader: leadership.server().filter(|_| is_recent).cloned(),
         term: leadership.term(),
         acknowledged: leadership.acknowledged(),
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -6,6 +6,7 @@
 
 use clock::Clock;
 use clock::Span;
+use clock::Time;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -15,6 +16,7 @@
 use crate::external::Target;
 use crate::group::Health;
 use crate::message::Code;
+use crate::node::Share;
 use crate::node::lock;
 use crate::pool::Admission;
 use crate::pool::Connection;
@@ -74,6 +76,18 @@
         self.dispatch();
     }
 
+    /// Applies this instance's share of the server's connections and the maximum number of
+    /// concurrent statements, and closes connections that have been idle for too long.
+    pub fn set_share(self: &Arc<Self>, now: Time, share: Share, statements: usize) {
+        let expired = {
+            let mut queue = lock(&self.queue);
+            let idle_timeout = queue.usage.idle_timeout(now, share);
+            queue.take_idle_since(now, idle_timeout)
+        };
+        drop(expired);
+        self.set_limits(share.connections(), statements);
+    }
+
     /// Closes the idle connections; the others close when they are returned.
     pub fn close(&self) {
         let (idle, waiters) = {
@@ -269,6 +283,7 @@
             return Err(self.unavailable());
         }
         // The oldest request predicts how long a new one would queue.
+        queue.usage.on_use();
         let oldest = queue.oldest_wait(priority);
         if oldest.is_some_and(|since| now >= since + max_queue_age) {
             return Err(self.overloaded());
--- a/crates/relay/src/pool/queue.rs
+++ b/crates/relay/src/pool/queue.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use clock::Span;
 use clock::Time;
 use tokio::sync::oneshot;
 
 use crate::pool::Connection;
 use crate::pool::Permit;
+use crate::pool::Usage;
 
 /// Initial limit on connections and statements, until the instance's share is known.
 const INITIAL_LIMIT: usize = 2;
@@ -52,6 +54,8 @@
     next_sequence: u64,
     /// Whether the server was removed.
     pub is_closed: bool,
+    /// How often connections are requested.
+    pub usage: Usage,
 }
 
 impl Queue {
@@ -66,6 +70,7 @@
             waiters: BTreeMap::new(),
             next_sequence: 0,
             is_closed: false,
+            usage: Usage::default(),
         }
     }
 
@@ -127,6 +132,19 @@
             .min()
     }
 
+    /// Removes and returns the connections that have been idle for `timeout`.
+    pub fn take_idle_since(&mut self, now: Time, timeout: Option<Span>) -> Vec<Connection> {
+        let Some(timeout) = timeout else {
+            return Vec::new();
+        };
+        let idle = std::mem::take(&mut self.idle);
+        let (expired, kept) = idle
+            .into_iter()
+            .partition(|connection| now >= connection.released + timeout);
+        self.idle = kept;
+        expired
+    }
+
     /// Queues a request; the receiver yields its grant.
     pub fn enqueue(
         &mut self,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -77,6 +77,7 @@
     tasks.spawn(task::follow_revisions(Arc::clone(&node)));
     tasks.spawn(task::follow_servers(Arc::clone(&node)));
     tasks.spawn(task::follow_appointments(Arc::clone(&node)));
+    tasks.spawn(task::follow_reports(Arc::clone(&node)));
     tasks.spawn(task::load_secret(Arc::clone(&node)));
     tasks.spawn(task::run_limiter(Arc::clone(&node)));
     tasks.spawn(peers::run(Arc::clone(&node)));
@@ -126,6 +127,7 @@
             summarized = node.now();
             log_summary(&node);
         }
+        node.share_connections();
         for group in node.groups() {
             if watched.insert(Arc::clone(&group.name)) {
                 watches.spawn(task::leader::run(Arc::clone(&node), Arc::clone(&group)));
--- a/crates/relay/src/task/leader.rs
+++ b/crates/relay/src/task/leader.rs
@@ -1,6 +1,7 @@
 //! Finds a group's leader and keeps its known position recent.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use clock::Span;
@@ -20,26 +21,42 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// A leader whose last proof is older than this is probed; ordinary writes usually prove it sooner.
 const PROOF_AGE_MAX: Span = Span::from_millis(300);
+/// The same where another instance reports the leader's position.
+const REPORT_AGE_MAX: Span = Span::from_millis(1_300);
 /// Maximum wait for a probe's reply, which takes a round trip but no slot at the server.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Returns whether other instances watch the leader for this one.
+fn is_reported(node: &Node, group: &Group) -> bool {
+    node.has_reports.load(Ordering::Relaxed) && !group.has_silent_leader()
+}
+
 /// Watches a group's leader until the process ends.
 pub async fn run(node: Arc<Node>, group: Arc<Group>) {
     loop {
         refresh(&node, &group).await;
-        failover::check(&node, &group).await;
+        if !is_reported(&node, &group) {
+            failover::check(&node, &group).await;
+        }
         // A server that has just registered may be the leader.
         let _elapsed = timeout(CHECK_PERIOD, group.changed.notified()).await;
     }
 }
 
 async fn refresh(node: &Arc<Node>, group: &Arc<Group>) {
+    let proven_at = lock(&group.leadership).proven_at();
+    let age_max = match is_reported(node, group) {
+        true => REPORT_AGE_MAX,
+        false => PROOF_AGE_MAX,
+    };
+    let is_due = node.now() >= proven_at + age_max;
     let Some(leader) = group.leader() else {
-        find_leader(node, group).await;
+        if is_due || !is_reported(node, group) {
+            find_leader(node, group).await;
+        }
         return;
     };
-    let proven_at = lock(&group.leadership).proven_at();
-    if node.now() >= proven_at + PROOF_AGE_MAX {
+    if is_due {
         probe(node, group, &leader).await;
     }
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod logger;
 mod pool;
 mod replacement;
+mod reports;
 mod sessions;
 mod shares;
 mod stops;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -92,6 +92,8 @@
     pub(super) sets_left: Option<usize>,
     /// Whether a replaced primary goes on as one until it is demoted.
     pub(super) keeps_deposed: bool,
+    /// The instances that have begun a transaction of their own.
+    pub(super) probers: BTreeSet<Arc<str>>,
     /// The servers from which an instance is cut off, by instance.
     pub(super) cuts: BTreeSet<(Arc<str>, Arc<str>)>,
 }
@@ -210,6 +212,11 @@
         self.lock().runs.clone()
     }
 
+    /// Returns and forgets the instances that have probed a server.
+    pub fn take_probers(&self) -> BTreeSet<Arc<str>> {
+        std::mem::take(&mut self.lock().probers)
+    }
+
     /// Returns the promotion orders received.
     pub fn orders(&self) -> Vec<Order> {
         self.lock().orders.clone()
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -86,6 +86,9 @@
                 &mut rows,
             );
         }
+        if request.id.is_none() && matches!(request.statement, Statement::Begin { .. }) {
+            inner.probers.insert(Arc::clone(&self.instance));
+        }
         if let Some(id) = &request.id {
             inner.runs.push(Run {
                 server: Arc::clone(&self.server),
