Cut the calls to the store and the start's work in large fleets

Few instances poll the entries, the others ask whether they changed. New members register first and acquire slices 0.4 s later, one after another. Leases of slices grow with the fleet up to four times. Lenders share one directory of peers instead of a copy for each account, and pollers are ranked only when members change.

Test changed: leases grow up to four times instead of two, as the design now says.

--- a/crates/account/src/rate/lenders.rs
+++ b/crates/account/src/rate/lenders.rs
@@ -8,7 +8,6 @@
 use clock::Time;
 
 use crate::rate::Amount;
-use crate::rate::Holder;
 use crate::rate::Loan;
 use crate::rate::Policy;
 use crate::rate::Schedule;
@@ -23,11 +22,13 @@
     started: Time,
 }
 
+/// The peers that may lend tokens, with the slices that each holds, as a mask; `None` if its row was
+/// not in the last read. All accounts share it.
+pub(super) type Directory = BTreeMap<Arc<str>, Option<u64>>;
+
 /// What is known about a peer's tokens of the account.
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
-    /// The slices that it holds, as a mask; `None` if its row was not in the last read.
-    slices: Option<u64>,
     /// What it could still lend after its last answer; `None` before the first answer.
     spare: Option<Amount>,
     /// Time of the last answer.
@@ -43,6 +44,8 @@
 /// The peers that may lend tokens, and how much each is expected to lend.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Lenders {
+    directory: Arc<Directory>,
+    /// The peers that were asked before; the others are in their default state.
     peers: BTreeMap<Arc<str>, Peer>,
     pending: BTreeMap<u64, Pending>,
     /// Id of the last borrow.
@@ -50,18 +53,15 @@
 }
 
 impl Lenders {
-    /// Sets the peers that may lend tokens, and the slices that live members hold.
-    pub fn set_peers(&mut self, peers: &[Arc<str>], members: &BTreeMap<Arc<str>, Holder>) {
-        self.peers.retain(|name, _| peers.contains(name));
-        for name in peers {
-            let peer = self.peers.entry(Arc::clone(name)).or_default();
-            peer.slices = members.get(name).map(|holder| holder.slices);
-        }
+    /// Sets the peers that may lend tokens.
+    pub fn set_directory(&mut self, directory: &Arc<Directory>) {
+        self.peers.retain(|name, _| directory.contains_key(name));
+        self.directory = Arc::clone(directory);
     }
 
     /// Returns whether there are no peers.
     pub fn is_empty(&self) -> bool {
-        self.peers.is_empty()
+        self.directory.is_empty()
     }
 
     /// Returns whether no borrow is pending.
@@ -77,8 +77,8 @@
         };
         self.pending.insert(id, pending);
         self.last_borrow_id = id;
-        if let Some(peer) = self.peers.get_mut(peer) {
-            peer.pending += 1;
+        if self.directory.contains_key(peer) {
+            self.peers.entry(Arc::clone(peer)).or_default().pending += 1;
         }
     }
 
@@ -110,7 +110,8 @@
         let backoff = Span::from_micros(policy.empty_backoff.as_micros() << doublings);
         peer.empty_loans = peer.empty_loans.saturating_add(1);
         // The backoff ends at the latest once the peer has refilled a token.
-        let refill = peer.slices.map_or(backoff, |slices| {
+        let slices = self.directory.get(from).copied().flatten();
+        let refill = slices.map_or(backoff, |slices| {
             bucket.refill_time(slices, MIN_TOKENS.saturating_sub(loan.spare))
         });
         peer.not_before = now + backoff.min(refill.max(policy.empty_backoff));
@@ -146,10 +147,12 @@
         // A peer about which nothing is known may have any number of tokens.
         let unknown = Amount::from_tokens(u64::MAX);
         let mut ready: Vec<(Amount, &Arc<str>)> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.pending == 0 && peer.not_before <= now)
-            .map(|(name, peer)| (expected(now, bucket, peer).unwrap_or(unknown), name))
+            .states()
+            .filter(|(_, _, peer)| peer.pending == 0 && peer.not_before <= now)
+            .map(|(name, slices, peer)| {
+                let expected = expected(now, bucket, slices, &peer);
+                (expected.unwrap_or(unknown), name)
+            })
             .filter(|(expected, _)| *expected > Amount::ZERO)
             .collect();
         // Ties are broken by a hash that changes with every borrow, so that instances do not all
@@ -181,20 +184,27 @@
     /// Returns the sum that all peers outside of a backoff are expected to lend.
     pub fn expected_loans(&self, now: Time, bucket: &Bucket, schedule: &Schedule) -> Amount {
         let full = bucket.capacity(!schedule.held(now));
-        let count = u64::try_from(self.peers.len()).unwrap_or(u64::MAX).max(1);
-        let even = Amount::from_raw(full.raw() / count);
-        self.peers
-            .values()
-            .filter(|peer| peer.not_before <= now)
-            .map(|peer| expected(now, bucket, peer).unwrap_or(even))
+        let count = u64::try_from(self.directory.len()).unwrap_or(u64::MAX);
+        let even = Amount::from_raw(full.raw() / count.max(1));
+        self.states()
+            .filter(|(_, _, peer)| peer.not_before <= now)
+            .map(|(_, slices, peer)| expected(now, bucket, slices, &peer).unwrap_or(even))
             .fold(Amount::ZERO, Amount::saturating_add)
             .min(full)
     }
+
+    /// Returns all peers, each with the slices that it holds and what is known about its tokens.
+    fn states(&self) -> impl Iterator<Item = (&Arc<str>, Option<u64>, Peer)> {
+        self.directory.iter().map(|(name, slices)| {
+            let peer = self.peers.get(name).copied().unwrap_or_default();
+            (name, *slices, peer)
+        })
+    }
 }
 
 /// Returns what a peer is expected to lend; `None` if nothing is known about it.
-fn expected(now: Time, bucket: &Bucket, peer: &Peer) -> Option<Amount> {
-    let Some(slices) = peer.slices else {
+fn expected(now: Time, bucket: &Bucket, slices: Option<u64>, peer: &Peer) -> Option<Amount> {
+    let Some(slices) = slices else {
         // If it had nothing to lend, it may have acquired slices since.
         return peer.spare.filter(|spare| *spare > Amount::ZERO);
     };
--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -21,6 +21,7 @@
 use crate::rate::Schedule;
 use crate::rate::Send;
 use crate::rate::account::Account;
+use crate::rate::lenders::Directory;
 use crate::rate::slices::Manager;
 
 /// Rate limiter of one instance for all accounts.
@@ -37,6 +38,8 @@
     /// The slices that the buckets use; all buckets are settled before it changes.
     schedule: Schedule,
     peers: Vec<Arc<str>>,
+    /// The peers with their slices, shared by the accounts.
+    directory: Arc<Directory>,
     next_borrow_id: u64,
     is_urgent: bool,
 }
@@ -68,6 +71,7 @@
             slices: Manager::open(local, address, policy),
             schedule: Schedule::default(),
             peers: Vec::new(),
+            directory: Arc::default(),
             next_borrow_id: 0,
             is_urgent: false,
         }
@@ -90,9 +94,7 @@
         for (name, limit) in limits {
             self.accounts.entry(Arc::clone(name)).or_insert_with(|| {
                 let mut account = Account::open(now, name, *limit);
-                account
-                    .lenders()
-                    .set_peers(&self.peers, self.slices.members());
+                account.lenders().set_directory(&self.directory);
                 account
             });
         }
@@ -118,10 +120,21 @@
         if peers == self.peers {
             return;
         }
+        self.peers = peers;
+        self.update_directory();
+    }
+
+    /// Tells all accounts which peers may lend and which slices they hold.
+    fn update_directory(&mut self) {
+        let members = self.slices.members();
+        let directory = self.peers.iter().map(|name| {
+            let holder = members.get(name);
+            (Arc::clone(name), holder.map(|holder| holder.slices))
+        });
+        self.directory = Arc::new(directory.collect());
         for account in self.accounts.values_mut() {
-            account.lenders().set_peers(&peers, self.slices.members());
+            account.lenders().set_directory(&self.directory);
         }
-        self.peers = peers;
     }
 
     /// Admits, delays or refuses a request of an account that costs `cost` tokens.
@@ -220,11 +233,7 @@
         let actions = self.slices.on_read(now, id, result);
         self.reschedule(now);
         if *self.slices.members() != before {
-            for account in self.accounts.values_mut() {
-                account
-                    .lenders()
-                    .set_peers(&self.peers, self.slices.members());
-            }
+            self.update_directory();
         }
         actions
     }
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -2,6 +2,9 @@
 
 use clock::Span;
 
+/// Maximum factor by which leases and related intervals grow with the fleet.
+const FLEET_SCALE_MAX: usize = 4;
+
 /// Timing and tuning parameters of the limiter; they must be the same at all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -53,9 +56,15 @@
     /// Maximum time until every instance has applied a change of the limits or has stopped
     /// granting.
     pub max_settings_delay: Span,
-    /// Number of members above which leases and related intervals grow in proportion, up to twice:
-    /// the table's load grows with the number of members while each holds fewer slices.
+    /// Number of members above which leases and related intervals grow in proportion, up to
+    /// `FLEET_SCALE_MAX`: the table's load grows with the number of members while each holds fewer
+    /// slices.
     pub fleet_size: usize,
+    /// How long a new member waits after it has registered before it acquires free slices. Members
+    /// that start together then know each other, so that slices move once.
+    pub join_delay: Span,
+    /// Time between the acquisitions of new members that start together, which would conflict.
+    pub join_spacing: Span,
     /// Fault injection for tests: a repeated loan is applied again.
     pub repeat_loans: bool,
     /// Fault injection for tests: takeovers need no consent.
@@ -92,6 +101,8 @@
             max_borrows: usize::MAX,
             max_settings_delay: Span::from_secs(5),
             fleet_size: usize::MAX,
+            join_delay: Span::ZERO,
+            join_spacing: Span::ZERO,
             repeat_loans: false,
             skip_consent: false,
             start_full: false,
@@ -103,7 +114,8 @@
 impl Policy {
     /// Scales a lease or related interval to a fleet with `members` other members.
     pub fn scale_to_fleet(&self, span: Span, members: usize) -> Span {
-        let members = members.clamp(self.fleet_size, self.fleet_size.saturating_mul(2));
+        let most = self.fleet_size.saturating_mul(FLEET_SCALE_MAX);
+        let members = members.clamp(self.fleet_size, most);
         let micros =
             u128::from(span.as_micros()) * members as u128 / self.fleet_size.max(1) as u128;
         Span::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -63,6 +63,10 @@
     /// Start time of the last committed renewal.
     renewed_at: Time,
     requests: Requests,
+    /// When the own row was first committed.
+    registered_at: Option<Time>,
+    /// When free slices may be acquired for the first time, once it is known.
+    acquire_at: Option<Time>,
     is_leaving: bool,
     has_left: bool,
 }
@@ -84,6 +88,8 @@
             next_claim: Time::ZERO,
             renewed_at: Time::ZERO,
             requests: Requests::default(),
+            registered_at: None,
+            acquire_at: None,
             is_leaving: false,
             has_left: false,
         }
@@ -174,6 +180,7 @@
             row: observed.row,
         });
         self.lease.on_read(now, &self.policy, confirmed);
+        self.schedule_acquisition(now);
         self.write(now).into_iter().collect()
     }
 
@@ -191,6 +198,10 @@
                 let started = call.started;
                 self.lease.on_committed(now, &self.policy, started, version);
                 self.renewed_at = started;
+                if self.registered_at.is_none() {
+                    self.registered_at = Some(now);
+                    self.next_read = self.next_read.min(now + self.policy.join_delay);
+                }
             }
             // The conflict may be with a duplicate of the same write sent by the transport, so only
             // the next read shows whether the write was committed.
@@ -306,6 +317,29 @@
         actions
     }
 
+    /// Sets when this member first acquires free slices, so that members that start together do it
+    /// one after another.
+    fn schedule_acquisition(&mut self, now: Time) {
+        let is_settled = self
+            .registered_at
+            .is_some_and(|at| now >= at + self.policy.join_delay);
+        if self.acquire_at.is_some() || !is_settled {
+            return;
+        }
+        let members = self.view.rows.values();
+        let before = members
+            .filter(|observed| observed.row.member < self.local)
+            .count() as u64;
+        let at = now + Span::from_micros(self.policy.join_spacing.as_micros() * before);
+        self.acquire_at = Some(at);
+        self.next_read = self.next_read.min(at);
+    }
+
+    /// Returns whether free slices may be acquired.
+    fn may_acquire(&self, now: Time) -> bool {
+        self.policy.join_delay == Span::ZERO || self.acquire_at.is_some_and(|at| now >= at)
+    }
+
     /// Writes the own row if its renewal is due or its content changes.
     fn write(&mut self, now: Time) -> Option<Action> {
         let own = self
@@ -317,6 +351,7 @@
             return self.remove(now);
         }
         let takeovers = self.takeovers(now);
+        let may_acquire = self.may_acquire(now) || !takeovers.is_empty();
         let plan = plan(
             now,
             &self.policy,
@@ -324,6 +359,7 @@
             own,
             &self.view.rows,
             takeovers,
+            may_acquire,
         );
         let is_unchanged = own.is_some_and(|row| {
             !row.lapsed
--- a/crates/account/src/rate/slices/plan.rs
+++ b/crates/account/src/rate/slices/plan.rs
@@ -43,7 +43,7 @@
     pub takeovers: BTreeMap<Arc<str>, Takeover>,
 }
 
-/// Plans the own row.
+/// Plans the own row; free slices are acquired only if `may_acquire`.
 ///
 /// Slices move in two separate transactions: a member with too many releases some, and a member
 /// with too few acquires free ones.
@@ -54,6 +54,7 @@
     own: Option<&Row>,
     others: &BTreeMap<Arc<str>, Observation>,
     takeovers: BTreeMap<Arc<str>, Takeover>,
+    may_acquire: bool,
 ) -> Plan {
     let mut members = vec![local.clone()];
     let mut occupied = 0_u64;
@@ -76,7 +77,10 @@
     let target = target(local, &members, SLICE_COUNT - locked_count);
     let own_slices = own.map_or(0, Row::slices);
     assert!(occupied & own_slices == 0, "a slice is held by two rows");
-    let free = !occupied & !own_slices;
+    let free = match may_acquire {
+        true => !occupied & !own_slices,
+        false => 0,
+    };
     let kept = lowest(own_slices, target);
     let slices = kept | lowest(free, target - kept.count_ones());
     let pinned_target = slices.count_ones() * policy.pinned_percent / 100;
--- a/crates/endpoint/src/status.rs
+++ b/crates/endpoint/src/status.rs
@@ -37,6 +37,7 @@
     Deserialize,
     strum::Display,
     strum::EnumString,
+    Hash,
 )]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -41,12 +41,14 @@
 use crate::peers::Peers;
 use crate::peers::Report;
 use crate::peers::Reports;
+use crate::peers::Topic;
 use crate::peers::Topics;
 use crate::peers::signed_ms;
 use crate::session::Job;
 use crate::settings::Revision;
 use crate::settings::Route;
 use crate::settings::Server;
+use crate::task::confirmation;
 
 /// Connections reserved at each server for the failover tasks.
 const SPARE_CONNECTIONS: usize = 2;
@@ -79,6 +81,9 @@
     pub tokens_received: Notify,
     /// Peer addresses of the other live instances, by name.
     members: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
+    /// The instances that read the store for all others, by topic; ranked when first needed after a
+    /// change of the members.
+    pollers: Mutex<BTreeMap<Topic, Arc<Vec<Arc<str>>>>>,
     /// Requests for confirmations that what an instance knows is current.
     pub confirmations: Topics<Mutex<Confirmations>>,
     /// Notified when another instance confirmed something.
@@ -142,6 +147,7 @@
             limiter_due: Notify::new(),
             tokens_received: Notify::new(),
             members: Mutex::default(),
+            pollers: Mutex::default(),
             confirmations: Topics::default(),
             confirmed: Topics::default(),
             reports: Mutex::default(),
@@ -238,9 +244,21 @@
         *known = addresses()
             .map(|(name, address)| (Arc::clone(name), *address))
             .collect();
+        lock(&self.pollers).clear();
         true
     }
 
+    /// Returns the instances that read the store for all others.
+    pub fn pollers(&self, topic: Topic) -> Arc<Vec<Arc<str>>> {
+        let members = lock(&self.members);
+        let mut pollers = lock(&self.pollers);
+        let ranked = pollers.entry(topic).or_insert_with(|| {
+            let names = members.keys().chain([&self.options.name]);
+            Arc::new(confirmation::rank_pollers(topic, names))
+        });
+        Arc::clone(ranked)
+    }
+
     /// Applies a revision unless it is as old as the current one or older.
     pub fn apply(&self, revision: Revision) {
         if revision.number <= self.revision().number {
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -49,7 +49,8 @@
         id: u64,
         /// What was confirmed.
         topic: Topic,
-        /// The newest revision of the settings, or the version of the leaders' rows.
+        /// The newest revision of the settings, or a number that stands for the rows of another
+        /// topic.
         revision: u64,
         /// Milliseconds from the arrival of the query to the start of the call by which the store
         /// confirmed the revision; negative if the call began first.
--- a/crates/relay/src/peers/topic.rs
+++ b/crates/relay/src/peers/topic.rs
@@ -4,13 +4,17 @@
 use serde::Serialize;
 
 /// Rows of the table that some instances read for all others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, strum::Display,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Topic {
     /// The settings.
     Settings,
     /// The groups' appointed leaders.
     Leaders,
+    /// The servers' entries.
+    Servers,
 }
 
 /// A value for each topic.
@@ -18,6 +22,7 @@
 pub struct Topics<T> {
     settings: T,
     leaders: T,
+    servers: T,
 }
 
 impl<T> Topics<T> {
@@ -26,6 +31,7 @@
         match topic {
             Topic::Settings => &self.settings,
             Topic::Leaders => &self.leaders,
+            Topic::Servers => &self.servers,
         }
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -35,7 +35,7 @@
 const LOAD_REPORT_INTERVAL: Span = Span::from_secs(1);
 /// Time limit for fetching rate limit slices before callers are accepted; callers wait two seconds
 /// for the start of their session.
-const FIRST_SLICES_TIMEOUT: Duration = Duration::from_millis(800);
+const FIRST_SLICES_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The interval of the summary in the log.
 const SUMMARY_INTERVAL: Span = Span::from_secs(10);
 /// A stopping instance serves at least this long, until load balancers have noticed: they probe
--- a/crates/relay/src/settings/server.rs
+++ b/crates/relay/src/settings/server.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 /// The entry in which a server describes itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Server {
     /// Its database group.
     pub group: Arc<str>,
--- a/crates/relay/src/task/confirmation.rs
+++ b/crates/relay/src/task/confirmation.rs
@@ -22,15 +22,19 @@
 
 /// Chooses an instance that reads the store; `None` if this instance is one of them.
 pub fn choose_poller(node: &Node, topic: Topic) -> Option<SocketAddr> {
-    let members = node.peer_addresses();
-    let names = members.keys().chain([&node.options.name]);
-    let mut pollers = rendezvous_order(&topic.to_string(), names);
-    pollers.truncate(POLLERS_MIN + pollers.len() / INSTANCES_PER_POLLER);
+    let pollers = node.pollers(topic);
     if pollers.contains(&node.options.name) {
         return None;
     }
     let chosen = pollers.iter().choose(&mut rand::rng())?;
-    members.get(chosen).copied()
+    node.peer_address(chosen)
+}
+
+/// Ranks the instances and returns those that read the store.
+pub fn rank_pollers<'a>(topic: Topic, names: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
+    let mut pollers = rendezvous_order(&topic.to_string(), names);
+    pollers.truncate(POLLERS_MIN + pollers.len() / INSTANCES_PER_POLLER);
+    pollers
 }
 
 /// Responds to all pending queries that the store confirmed `revision` by a call begun at `begun`.
--- a/crates/relay/src/task/limiter.rs
+++ b/crates/relay/src/task/limiter.rs
@@ -25,7 +25,7 @@
 /// byte: few renewals and reads, correspondingly long leases, and few requests to peers that have
 /// nothing to lend. A step is 50 ms, so demand is measured and loans last over a few steps. A
 /// request waits briefly rather than being refused while its account has rate left. Leases last
-/// longer in fleets of more than 32 instances.
+/// longer in fleets of more than 16 instances.
 pub fn policy() -> Policy {
     Policy {
         lease: Span::from_secs(9),
@@ -41,7 +41,9 @@
         empty_backoff: Span::from_millis(200),
         empty_doublings: 3,
         max_borrows: 3,
-        fleet_size: 32,
+        fleet_size: 16,
+        join_delay: Span::from_millis(400),
+        join_spacing: Span::from_millis(20),
         ..Policy::default()
     }
 }
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -2,7 +2,7 @@
 
 mod appointments;
 mod call;
-mod confirmation;
+pub mod confirmation;
 mod follower;
 pub mod leader;
 mod limiter;
--- a/crates/relay/src/task/reports.rs
+++ b/crates/relay/src/task/reports.rs
@@ -38,8 +38,8 @@
         source = source
             .filter(|source| node.has_peer_at(*source))
             .or_else(|| confirmation::choose_poller(&node, Topic::Leaders));
-        let is_poller = confirmation::choose_poller(&node, Topic::Leaders).is_none();
-        let Some(address) = source.filter(|_| !is_poller) else {
+        let is_prober = node.pollers(Topic::Leaders).contains(&node.options.name);
+        let Some(address) = source.filter(|_| !is_prober) else {
             node.has_reports.store(false, Ordering::Relaxed);
             sleep(QUERY_PERIOD).await;
             continue;
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -1,6 +1,10 @@
 //! Follows the entries that servers register.
 
 use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,13 +14,19 @@
 use tokio::time::sleep;
 
 use crate::node::Node;
+use crate::peers::Topic;
 use crate::settings::Server;
+use crate::task::confirmation;
 use crate::task::follower::Follower;
 
 /// How long the store holds a call that waits for changes. A dead connection is noticed only after
-/// this time, which leaves over a second of the 7 s within which a leaving server must fall out of
-/// use.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(5);
+/// this time, and then an instance that relies on the caller only after `PEER_TIMEOUT`; both leave
+/// over a second of the 7 s within which a leaving server must fall out of use.
+const LONG_POLL_WAIT: Duration = Duration::from_secs(2);
+/// Maximum wait for another instance's response: `LONG_POLL_WAIT` plus time for a slow store.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_700);
+/// Pause before an instance reads changed entries that another instance has polled.
+const CHANGE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a batch, per other instance, so that consecutive changes arrive in one batch: each
 /// batch costs the store one reply per instance.
 const BATCH_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(12);
@@ -30,51 +40,115 @@
 const STORE_RECOVERY_GRACE: Span = Span::from_millis(2_300);
 
 /// Follows the entries until the process ends.
+///
+/// Few instances poll the store; the others ask one of these whether the entries have changed and
+/// read the store only then.
 pub async fn run(node: Arc<Node>) {
-    let mut follower = Follower::open(&node.dependencies.servers, "servers");
-    let mut absences = Absences::default();
+    let mut entries = Entries {
+        follower: Follower::open(&node.dependencies.servers, "servers"),
+        absences: Absences::default(),
+        present: BTreeMap::new(),
+        node,
+    };
+    let mut is_known = false;
     loop {
-        let expiry = absences.next_expiry(node.now());
-        let wait = expiry.map_or(LONG_POLL_WAIT, |expiry| expiry.min(LONG_POLL_WAIT));
-        if let Some(update) = follower.next(wait).await {
-            if update.is_recovery {
-                absences.on_store_recovered(node.now());
-            }
-            let has_changes = !update.batch.changes.is_empty();
-            apply(&node, &mut absences, update.batch, update.is_snapshot);
-            if has_changes {
-                let others = u32::try_from(node.peer_addresses().len()).unwrap_or(u32::MAX);
-                sleep(
-                    BATCH_PAUSE_PER_INSTANCE
-                        .saturating_mul(others)
-                        .min(BATCH_PAUSE_MAX),
-                )
-                .await;
-            }
+        let poller = confirmation::choose_poller(&entries.node, Topic::Servers);
+        is_known = match poller.filter(|_| is_known) {
+            Some(address) => entries.query_peer(address).await,
+            None => entries.poll_store().await,
+        };
+        entries.expire();
+    }
+}
+
+/// The entries as last read from the store.
+struct Entries {
+    node: Arc<Node>,
+    follower: Follower<Server>,
+    absences: Absences,
+    /// The entries in the store, by server; a missing one stays in use for a while.
+    present: BTreeMap<Arc<str>, Server>,
+}
+
+impl Entries {
+    /// Polls the store for changes; returns whether it replied.
+    async fn poll_store(&mut self) -> bool {
+        let begun = self.node.now();
+        let wait = self.limit_to_expiry(LONG_POLL_WAIT);
+        let Some(update) = self.follower.next(wait).await else {
+            return false;
+        };
+        if update.is_recovery {
+            self.absences.on_store_recovered(self.node.now());
         }
-        for name in absences.expire(node.now()) {
-            node.on_entry(&name, None);
+        let has_changes = !update.batch.changes.is_empty();
+        self.apply(update.batch, update.is_snapshot);
+        confirmation::respond(&self.node, Topic::Servers, begun, self.digest()).await;
+        if has_changes {
+            let others = u32::try_from(self.node.peer_addresses().len()).unwrap_or(u32::MAX);
+            let pause = BATCH_PAUSE_PER_INSTANCE.saturating_mul(others);
+            sleep(pause.min(BATCH_PAUSE_MAX)).await;
         }
+        true
     }
-}
 
-fn apply(node: &Node, absences: &mut Absences, batch: Batch<Server>, is_snapshot: bool) {
-    if is_snapshot {
-        for name in node.entry_names() {
-            if !batch.changes.iter().any(|change| change.name == name) {
-                absences.on_missing(node.now(), &name, is_draining(node, &name));
-            }
+    /// Queries another instance whether the entries have changed; returns whether they are known
+    /// not to have.
+    async fn query_peer(&mut self, address: SocketAddr) -> bool {
+        let wait = self.limit_to_expiry(PEER_TIMEOUT);
+        let answer = confirmation::query(&self.node, address, Topic::Servers, wait).await;
+        let is_unchanged = match answer {
+            Some(answer) => answer.revision == self.digest(),
+            // The next query asks again.
+            None => wait < PEER_TIMEOUT,
+        };
+        if !is_unchanged {
+            // Servers that start or leave together change their entries one by one.
+            sleep(CHANGE_PAUSE).await;
+            self.follower.restart();
+        }
+        is_unchanged
+    }
+
+    /// Returns `wait`, or the time until the next missing entry counts as gone if that is shorter.
+    fn limit_to_expiry(&self, wait: Duration) -> Duration {
+        let expiry = self.absences.next_expiry(self.node.now());
+        expiry.map_or(wait, |expiry| expiry.min(wait))
+    }
+
+    /// Returns a number that is the same at all instances that know the same entries.
+    fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.present.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn expire(&mut self) {
+        for name in self.absences.expire(self.node.now()) {
+            self.node.on_entry(&name, None);
         }
     }
-    for change in batch.changes {
-        match change.value {
-            Some(entry) => {
-                absences.on_present(&change.name);
-                node.on_entry(&change.name, Some(entry));
+
+    fn apply(&mut self, batch: Batch<Server>, is_snapshot: bool) {
+        let now = self.node.now();
+        if is_snapshot {
+            self.present.clear();
+            for name in self.node.entry_names() {
+                if !batch.changes.iter().any(|change| change.name == name) {
+                    let is_planned = is_draining(&self.node, &name);
+                    self.absences.on_missing(now, &name, is_planned);
+                }
             }
-            None => {
-                let is_planned = is_draining(node, &change.name);
-                absences.on_missing(node.now(), &change.name, is_planned);
+        }
+        for change in batch.changes {
+            if let Some(entry) = change.value {
+                self.absences.on_present(&change.name);
+                self.node.on_entry(&change.name, Some(entry.clone()));
+                self.present.insert(change.name, entry);
+            } else {
+                let is_planned = is_draining(&self.node, &change.name);
+                self.absences.on_missing(now, &change.name, is_planned);
+                self.present.remove(&change.name);
             }
         }
     }
