Keep what must not go back when the store returns from an older copy

Fencing tokens are above every one that any instance knows; a replacement that the table forgot is written again. A slice in two rows no longer panics: both holders give it up. A background task that panics is started again and logged instead of ending for good.

--- a/crates/account/tests/rate/traps.rs
+++ b/crates/account/tests/rate/traps.rs
@@ -1,9 +1,18 @@
 //! Regression tests: one scenario for each known way to grant too much or too little.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use account::rate::Action;
 use account::rate::Limit;
+use account::rate::Limiter;
+use account::rate::Member;
 use account::rate::Policy;
+use account::rate::Row;
 use account::rate::SLICE_COUNT;
 use clock::Span;
+use clock::Time;
+use store::Write;
 use test_case::test_case;
 
 use crate::fleet::Options;
@@ -204,3 +213,50 @@
         "granted={granted}"
     );
 }
+
+/// A table that returned from an older copy may show a slice in two rows.
+#[test]
+fn a_slice_in_two_rows_stops_no_instance_and_is_used_by_neither_holder_anew() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let row = |name: &str, port, pinned: u64| {
+        let member = Member {
+            name: Arc::from(name),
+            life: 1,
+        };
+        let row = Row {
+            member: member.clone(),
+            address: address(port),
+            serial: 1,
+            lapsed: false,
+            lease_ms: 3_000,
+            pinned,
+            mobile: 0,
+            electors: vec![member.clone()],
+        };
+        store::Row {
+            key: member.key(),
+            value: Arc::from(serde_json::to_string(&row).expect("JSON")),
+            version: u64::from(port),
+        }
+    };
+    let mut limiter = Limiter::open("c", 1, address(3), Policy::default());
+    let now = Time::ZERO + Span::from_secs(1);
+    let actions = limiter.tick(now);
+    let Some(Action::Read { id }) = actions.first() else {
+        panic!("expected a read: {actions:?}");
+    };
+    let rows = vec![row("a", 1, 0b0110), row("b", 2, 0b1100)];
+    let actions = limiter.on_read(now, *id, Ok(rows));
+    let Some(Action::Commit { writes, .. }) = actions.first() else {
+        panic!("expected a registration: {actions:?}");
+    };
+    let own = writes.iter().find_map(|write| match write {
+        Write::Put { key, value } if key.contains("of/c") => {
+            serde_json::from_str::<Row>(value).ok()
+        }
+        _ => None,
+    });
+    let own = own.expect("the own row");
+    assert_ne!(own.slices(), 0, "free slices are acquired");
+    assert_eq!(own.slices() & 0b1110, 0, "held ones are not");
+}
--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -49,9 +49,12 @@
     }
 
     /// Acquires a group's lease; `None` if another instance holds it or the table does not answer.
-    pub async fn acquire(node: &Node, group: &Group) -> Option<Self> {
+    ///
+    /// The token is higher than `known_token`, the highest one that any instance knows, also if the
+    /// table returned from an older copy.
+    pub async fn acquire(node: &Node, group: &Group, known_token: u64) -> Option<Self> {
         let row = row::read(node, group, &Lease::key(&group.name)).await?;
-        Self::acquire_from(node, group, row, Phase::Working).await
+        Self::acquire_from(node, group, row, Phase::Working, known_token).await
     }
 
     /// Returns whether no other instance can have taken the lease over.
@@ -73,7 +76,8 @@
             // Nobody knows the leader, so the replacement is begun anew instead.
             return Takeover::Unknown;
         }
-        let taken = Self::acquire_from(node, group, row, phase).await;
+        let known_token = node.leases.newest_token(&group.name);
+        let taken = Self::acquire_from(node, group, row, phase, known_token).await;
         taken.map_or(Takeover::Unknown, Takeover::Acquired)
     }
 
@@ -82,6 +86,7 @@
         group: &Group,
         row: Option<Row>,
         phase: Phase,
+        known_token: u64,
     ) -> Option<Self> {
         let key = Lease::key(&group.name);
         let now = node.now();
@@ -91,7 +96,12 @@
         {
             return None;
         }
-        let before = row.as_ref().and_then(Lease::parse);
+        let mut before = row.as_ref().and_then(Lease::parse);
+        let newest = node.leases.newest(&group.name);
+        let token = |lease: &Option<Lease>| lease.as_ref().map(|lease| lease.token);
+        if token(&newest) > token(&before) {
+            before = newest;
+        }
         if let Some(before) = before.as_ref().filter(|lease| lease.phase != Phase::Done) {
             // The previous holder may know servers that were removed before this instance started.
             group.restore_holders(&before.commit_holders);
@@ -105,7 +115,11 @@
         let lease = Lease {
             holder: Arc::clone(&node.options.name),
             incarnation: node.incarnation,
-            token: before.as_ref().map_or(row_version, |before| before.token) + 1,
+            token: before
+                .as_ref()
+                .map_or(row_version, |before| before.token)
+                .max(known_token)
+                + 1,
             phase,
             commit_holders: group.commit_holders(now),
             leader: before.as_ref().and_then(|before| before.leader),
@@ -116,12 +130,15 @@
         let (condition, write) = lease.compare_and_set(&group.name, row.as_ref());
         let commit = node.dependencies.table.commit(vec![condition], vec![write]);
         match timeout(TABLE_TIMEOUT, commit).await {
-            Ok(Ok(Outcome::Committed { version })) => Some(Self {
-                lease,
-                version,
-                renewed: now,
-                is_predecessor_unfinished,
-            }),
+            Ok(Ok(Outcome::Committed { version })) => {
+                node.leases.on_lease(&group.name, &lease);
+                Some(Self {
+                    lease,
+                    version,
+                    renewed: now,
+                    is_predecessor_unfinished,
+                })
+            }
             Ok(Ok(Outcome::Conflict { .. })) => None,
             failed => {
                 log::info!(
@@ -130,6 +147,9 @@
                 );
                 let row = row::read(node, group, &key).await??;
                 let is_ours = Lease::parse(&row).is_some_and(|read| read == lease);
+                if is_ours {
+                    node.leases.on_lease(&group.name, &lease);
+                }
                 is_ours.then_some(Self {
                     lease,
                     version: row.version,
@@ -156,6 +176,7 @@
             Ok(Ok(Outcome::Committed { version })) => {
                 self.version = version;
                 self.renewed = begun;
+                node.leases.on_lease(&group.name, &self.lease);
                 true
             }
             failed => {
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -93,9 +93,33 @@
 #[derive(Debug, Default)]
 pub struct Leases {
     seen: Mutex<BTreeMap<Arc<str>, (u64, Time)>>,
+    /// The newest lease of each group that this instance has read or written.
+    newest: Mutex<BTreeMap<Arc<str>, Lease>>,
 }
 
 impl Leases {
+    /// Records a lease that this instance has read or written; returns whether it is as new as
+    /// every one before. An older one shows that the table returned from an older copy.
+    pub fn on_lease(&self, group: &Arc<str>, lease: &Lease) -> bool {
+        let mut newest = lock(&self.newest);
+        let known = newest.entry(Arc::clone(group)).or_insert(lease.clone());
+        if lease.token < known.token {
+            return false;
+        }
+        known.clone_from(lease);
+        true
+    }
+
+    /// Returns the newest lease of a group that this instance knows.
+    pub fn newest(&self, group: &str) -> Option<Lease> {
+        lock(&self.newest).get(group).cloned()
+    }
+
+    /// Returns the highest fencing token of a group that this instance knows.
+    pub fn newest_token(&self, group: &str) -> u64 {
+        lock(&self.newest).get(group).map_or(0, |lease| lease.token)
+    }
+
     /// Returns whether the instance with this `incarnation` may acquire the lease in `row`, read at `now`.
     pub fn may_acquire(
         &self,
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -154,7 +154,11 @@
         if !self.knows_membership() {
             return;
         }
-        let Some(mut claim) = Claim::acquire(self.node, self.group).await else {
+        let known_token = views
+            .iter()
+            .map(|view| view.token)
+            .fold(self.node.leases.newest_token(&self.group.name), u64::max);
+        let Some(mut claim) = Claim::acquire(self.node, self.group, known_token).await else {
             return;
         };
         log::info!(
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -111,6 +111,8 @@
     pub leader: Option<Arc<str>>,
     /// The newest term known to the instance.
     pub term: u64,
+    /// The highest fencing token of the group known to the instance.
+    pub token: u64,
     /// The highest position of a commit acknowledged through the instance.
     pub acknowledged: Position,
     /// Milliseconds since the instance sent the last commit that was acknowledged.
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -313,6 +313,7 @@
         is_prober: !node.has_reports.load(Ordering::Relaxed),
         leader: leadership.server().filter(|_| is_recent).cloned(),
         term: leadership.term(),
+        token: node.leases.newest_token(&group.name),
         acknowledged: leadership.acknowledged(),
         commit_age_ms: node.now().since(leadership.committed_at()).as_millis(),
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -28,6 +28,7 @@
 use crate::peers::Peers;
 use crate::session;
 use crate::task;
+use crate::task::background;
 
 /// The interval of checks for new groups and for readiness.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -74,14 +75,14 @@
         ready,
         ready_path.to_owned(),
     ));
-    tasks.spawn(task::follow_revisions(Arc::clone(&node)));
-    tasks.spawn(task::follow_servers(Arc::clone(&node)));
-    tasks.spawn(task::follow_appointments(Arc::clone(&node)));
-    tasks.spawn(task::follow_reports(Arc::clone(&node)));
-    tasks.spawn(task::load_secret(Arc::clone(&node)));
-    tasks.spawn(task::run_limiter(Arc::clone(&node)));
-    tasks.spawn(peers::run(Arc::clone(&node)));
-    tasks.spawn(supervise(Arc::clone(&node)));
+    background::spawn(&mut tasks, "settings", &node, task::follow_revisions);
+    background::spawn(&mut tasks, "servers", &node, task::follow_servers);
+    background::spawn(&mut tasks, "leaders", &node, task::follow_appointments);
+    background::spawn(&mut tasks, "reports", &node, task::follow_reports);
+    background::spawn(&mut tasks, "secret", &node, task::load_secret);
+    background::spawn(&mut tasks, "limiter", &node, task::run_limiter);
+    background::spawn(&mut tasks, "peers", &node, peers::run);
+    background::spawn(&mut tasks, "supervisor", &node, supervise);
     let accepting = tasks.spawn(accept(Arc::clone(&node), listener));
     stop.await;
     shut_down(&node, accepting, stop_timeout).await;
--- a/crates/relay/src/task/appointments.rs
+++ b/crates/relay/src/task/appointments.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::failover::Lease;
+use crate::group::Group;
 use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
@@ -62,7 +63,7 @@
         }
     };
     let version = rows.iter().map(|row| row.version).max().unwrap_or_default();
-    apply(node, begun, &rows);
+    apply(node, begun, &rows).await;
     confirmation::respond(node, Topic::Leaders, begun, version).await;
     Some(version)
 }
@@ -91,13 +92,36 @@
     }
 }
 
-fn apply(node: &Node, begun: Time, rows: &[Row]) {
+async fn apply(node: &Node, begun: Time, rows: &[Row]) {
     let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (&*row.key, row)).collect();
     let until = lock(&node.limiter).registered_until();
     for group in node.groups() {
-        let row = rows.get(&*Lease::key(&group.name));
-        let lease = row.and_then(|row| Lease::parse(row));
+        let row = rows.get(&*Lease::key(&group.name)).copied();
+        let lease = row.and_then(Lease::parse);
+        let token = lease.as_ref().map_or(0, |lease| lease.token);
+        if token < node.leases.newest_token(&group.name) {
+            rewrite(node, &group, row).await;
+            continue;
+        }
+        if let Some(lease) = &lease {
+            node.leases.on_lease(&group.name, lease);
+        }
         group.change_leader_lease(|lease| lease.set_registered_until(until));
         group.on_appointment(begun, lease.map(|lease| lease.appointment()));
     }
 }
+
+/// Writes the newest known lease of a group again after the store returned from a copy without it.
+async fn rewrite(node: &Node, group: &Group, row: Option<&Row>) {
+    let Some(lease) = node.leases.newest(&group.name) else {
+        return;
+    };
+    let (condition, write) = lease.compare_and_set(&group.name, row);
+    let commit = node.dependencies.table.commit(vec![condition], vec![write]);
+    let result = timeout(READ_TIMEOUT, commit).await;
+    log::warn!(
+        "event=lease-rewritten group={} token={} result=\"{result:?}\"",
+        group.name,
+        lease.token
+    );
+}
--- a/crates/relay/src/task/mod.rs
+++ b/crates/relay/src/task/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of an instance.
 
 mod appointments;
+pub mod background;
 mod call;
 pub mod confirmation;
 mod follower;
--- a/crates/relay/tests/relay/deposed.rs
+++ b/crates/relay/tests/relay/deposed.rs
@@ -1,12 +1,20 @@
 //! Primaries that go on as such after their replacement, until they are demoted.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use relay::failover::Lease;
+use relay::failover::Phase;
 use relay::message::Code;
+use store::Condition;
+use store::Outcome;
+use store::Table;
+use store::Write;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::world::Client;
+use crate::world::GROUP;
 use crate::world::World;
 
 /// Upper bound of the time from a primary's failure to the next acknowledged write, if no instance
@@ -106,3 +114,69 @@
     assert_ne!(world.group.leader().as_deref(), Some("a"));
     assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
+
+/// Removes the group's lease row, as if the table had returned from a copy without it.
+async fn lose_lease(world: &World) {
+    let key = Lease::key(GROUP);
+    let row = world.table.get(&key).await.expect("a read");
+    let version = row.expect("a row").version;
+    let condition = Condition::Version {
+        key: Arc::clone(&key),
+        version,
+    };
+    let deleted = world
+        .table
+        .commit(vec![condition], vec![Write::Delete { key }])
+        .await;
+    assert!(matches!(deleted, Ok(Outcome::Committed { .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replacement_that_the_table_forgot_is_written_again_and_not_undone() {
+    let world = World::open_unchecked();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.group.set_silent("a", true);
+    write_until_success(&mut client, "x", "2").await;
+    let leader = world.group.leader().expect("a leader");
+    sleep(Duration::from_secs(5)).await;
+    world.group.set_silent("a", false);
+    lose_lease(&world).await;
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(6) {
+        if let Ok(value) = client.read("x").await {
+            assert_eq!(value, "2", "a read missed an acknowledged write");
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    let row = world.table.get(&Lease::key(GROUP)).await.expect("a read");
+    let lease = row.as_ref().and_then(Lease::parse).expect("a lease");
+    // Replicas are resumed as long as the former primary does not answer.
+    assert_ne!(lease.phase, Phase::Working);
+    assert!(lease.leader.is_some(), "the row names the leader");
+    assert_eq!(world.group.leader(), Some(leader), "nobody was promoted");
+    read_until_success(&mut client, "x", "2").await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fencing_token_is_not_used_again_after_the_table_forgot_it() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    for _ in 0..2 {
+        let leader = world.group.leader().expect("a leader");
+        world.group.set_silent(&leader, true);
+        write_until_success(&mut client, "x", "1").await;
+        world.group.set_silent(&leader, false);
+        sleep(Duration::from_secs(5)).await;
+        lose_lease(&world).await;
+    }
+    let orders = world.group.orders();
+    let tokens: Vec<u64> = orders.iter().map(|order| order.token).collect();
+    assert!(tokens.len() >= 2, "{tokens:?}");
+    assert!(
+        tokens.windows(2).all(|pair| pair[0] < pair[1]),
+        "{tokens:?}"
+    );
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the relay against an in-memory group of servers.
 
+mod background;
 mod confirmations;
 mod departures;
 mod deposed;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,6 +7,7 @@
 mod objects;
 mod roster;
 mod table;
+pub mod version;
 mod watch;
 
 pub use error::Error;
