Count a leader lease only from reads that began after the registration

The lease now needs a read that began after the registration was acknowledged.

A suspended holder of a failover lease orders nothing after another took over (deposed.rs, fails without the check).

--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -18,6 +18,7 @@
 use crate::rate::Member;
 use crate::rate::Message;
 use crate::rate::Policy;
+use crate::rate::Registration;
 use crate::rate::Schedule;
 use crate::rate::Send;
 use crate::rate::account::Account;
@@ -110,9 +111,9 @@
         self.slices.last_read()
     }
 
-    /// Returns until when the row that registers this instance is sure to stay in the table.
-    pub fn registered_until(&self) -> Time {
-        self.slices.registered_until()
+    /// Returns for which time the row that registers this instance is sure to be in the table.
+    pub fn registration(&self) -> Registration {
+        self.slices.registration()
     }
 
     /// Sets the peers that may lend tokens, without this instance.
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod policy;
 mod quota;
+mod registration;
 mod schedule;
 mod slices;
 
@@ -29,6 +30,7 @@
 pub use message::Message;
 pub use policy::Policy;
 pub use quota::Quota;
+pub use registration::Registration;
 pub use schedule::Schedule;
 pub use slices::EPOCH_KEY;
 pub use slices::Holder;
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -16,6 +16,7 @@
 use crate::rate::Member;
 use crate::rate::Message;
 use crate::rate::Policy;
+use crate::rate::Registration;
 use crate::rate::Row;
 use crate::rate::Schedule;
 use crate::rate::Send;
@@ -63,6 +64,8 @@
     /// Start time of the last committed renewal.
     renewed_at: Time,
     requests: Requests,
+    /// When the own row was first committed since it last lapsed.
+    registered_since: Time,
     /// When the own row was first committed.
     registered_at: Option<Time>,
     /// When free slices may be acquired for the first time, once it is known.
@@ -88,6 +91,7 @@
             next_claim: Time::ZERO,
             renewed_at: Time::ZERO,
             requests: Requests::default(),
+            registered_since: Time::ZERO,
             registered_at: None,
             acquire_at: None,
             is_leaving: false,
@@ -110,11 +114,12 @@
         self.view.read_at()
     }
 
-    /// Returns until when the own row is sure to stay in the table.
-    pub fn registered_until(&self) -> Time {
+    /// Returns for which time the own row is sure to be in the table.
+    pub fn registration(&self) -> Registration {
         let confirmed = self.lease.confirmed.as_ref();
-        confirmed.map_or(Time::ZERO, |confirmed| {
-            self.renewed_at + Span::from_millis(confirmed.row.lease_ms)
+        confirmed.map_or(Registration::default(), |confirmed| Registration {
+            since: self.registered_since,
+            until: self.renewed_at + Span::from_millis(confirmed.row.lease_ms),
         })
     }
 
@@ -196,6 +201,9 @@
             }
             Ok(Outcome::Committed { version }) => {
                 let started = call.started;
+                if self.registration().until <= now {
+                    self.registered_since = now;
+                }
                 self.lease.on_committed(now, &self.policy, started, version);
                 self.renewed_at = started;
                 if self.registered_at.is_none() {
--- a/crates/relay/src/group/leader_lease.rs
+++ b/crates/relay/src/group/leader_lease.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use account::rate::Registration;
 use clock::Span;
 use clock::Time;
 
@@ -30,8 +31,8 @@
 pub struct LeaderLease {
     /// The start of the table call that last showed `appointment`.
     confirmed: Option<Time>,
-    /// When the lease ends at the latest, as replacements stop asking this instance then.
-    registered_until: Time,
+    /// The time in which replacements are sure to ask this instance for its lease.
+    registration: Registration,
     /// The latest appointment in the table; `None` if the leader was never replaced.
     appointment: Option<Appointment>,
     /// The token of the latest replacement for which this instance gave the lease up.
@@ -63,9 +64,9 @@
         }
     }
 
-    /// Sets until when replacements are sure to ask this instance for its lease.
-    pub fn set_registered_until(&mut self, until: Time) {
-        self.registered_until = until;
+    /// Sets the time in which replacements are sure to ask this instance for its lease.
+    pub fn set_registration(&mut self, registration: Registration) {
+        self.registration = registration;
     }
 
     /// Gives the lease up for the replacement with `token`.
@@ -98,15 +99,16 @@
 
     /// Returns whether the lease is held at `now`.
     pub fn is_held(&self, now: Time) -> bool {
-        let is_confirmed = self
-            .confirmed
-            .is_some_and(|confirmed| now < confirmed + LEADER_LEASE);
-        is_confirmed && now < self.registered_until && self.is_settled()
+        // A replacement that began before the registration did not ask this instance.
+        let is_confirmed = self.confirmed.is_some_and(|confirmed| {
+            now < confirmed + LEADER_LEASE && confirmed >= self.registration.since
+        });
+        is_confirmed && now < self.registration.until && self.is_settled()
     }
 
     /// Returns whether the table has not been read for so long that the lease has expired.
     pub fn is_expired(&self, now: Time) -> bool {
         let until = self.confirmed.map(|confirmed| confirmed + LEADER_LEASE);
-        until.is_some_and(|until| now >= until) || now >= self.registered_until
+        until.is_some_and(|until| now >= until) || now >= self.registration.until
     }
 }
--- a/crates/relay/src/task/appointments.rs
+++ b/crates/relay/src/task/appointments.rs
@@ -78,10 +78,10 @@
     if answer.revision != version {
         return None;
     }
-    let until = lock(&node.limiter).registered_until();
+    let registration = lock(&node.limiter).registration();
     for group in node.groups() {
         group.change_leader_lease(|lease| {
-            lease.set_registered_until(until);
+            lease.set_registration(registration);
             lease.on_confirmed(answer.at);
         });
     }
@@ -94,7 +94,7 @@
 
 async fn apply(node: &Node, begun: Time, rows: &[Row]) {
     let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (&*row.key, row)).collect();
-    let until = lock(&node.limiter).registered_until();
+    let registration = lock(&node.limiter).registration();
     for group in node.groups() {
         let row = rows.get(&*Lease::key(&group.name)).copied();
         let lease = row.and_then(Lease::parse);
@@ -106,7 +106,7 @@
         if let Some(lease) = &lease {
             node.leases.on_lease(&group.name, lease);
         }
-        group.change_leader_lease(|lease| lease.set_registered_until(until));
+        group.change_leader_lease(|lease| lease.set_registration(registration));
         group.on_appointment(begun, lease.map(|lease| lease.appointment()));
     }
 }
--- a/crates/relay/tests/relay/deposed.rs
+++ b/crates/relay/tests/relay/deposed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Span;
 use relay::failover::Lease;
 use relay::failover::Phase;
 use relay::message::Code;
@@ -180,3 +181,36 @@
         "{tokens:?}"
     );
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_was_suspended_orders_nothing_after_another_took_over() {
+    let world = World::open_unchecked();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.group.lose_orders();
+    world.group.set_silent("a", true);
+    let begun = Instant::now();
+    while world.group.orders().is_empty() {
+        assert!(begun.elapsed() < Duration::from_secs(10), "no order");
+        sleep(Duration::from_millis(10)).await;
+    }
+    // The machine is suspended until another instance has taken the lease over.
+    instance.suspend(Span::from_secs(5));
+    let key = Lease::key(GROUP);
+    let row = world.table.get(&key).await.expect("a read").expect("a row");
+    let lease = Lease::parse(&row).expect("a lease");
+    let successor = Lease {
+        holder: Arc::from("i2"),
+        incarnation: lease.incarnation + 1,
+        token: lease.token + 1,
+        ..lease
+    };
+    let (condition, write) = successor.compare_and_set(GROUP, Some(&row));
+    let taken = world.table.commit(vec![condition], vec![write]).await;
+    assert!(matches!(taken, Ok(Outcome::Committed { .. })));
+    let before = world.group.orders().len();
+    sleep(Duration::from_secs(2)).await;
+    let after = world.group.orders().split_off(before);
+    assert_eq!(after, [], "the former holder went on");
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod deposed;
 mod detector;
+mod leader_lease;
 mod leadership;
 mod lease;
 mod logger;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -92,6 +92,8 @@
     pub(super) sets_left: Option<usize>,
     /// Whether a replaced primary goes on as one until it is demoted.
     pub(super) keeps_deposed: bool,
+    /// Whether promotion orders have no effect and no answer.
+    pub(super) loses_orders: bool,
     /// The instances that have begun a transaction of their own.
     pub(super) probers: BTreeSet<Arc<str>>,
     /// The servers from which an instance is cut off, by instance.
@@ -150,6 +152,11 @@
         self.lock().keeps_deposed = true;
     }
 
+    /// Loses all further promotion orders.
+    pub fn lose_orders(&self) {
+        self.lock().loses_orders = true;
+    }
+
     /// Cuts an instance off from a server.
     pub fn cut(&self, instance: &str, server: &str) {
         let cut = (Arc::from(instance), Arc::from(server));
@@ -309,6 +316,13 @@
         {
             let mut inner = self.lock();
             inner.orders.push(order.clone());
+            if inner.loses_orders {
+                return Err(Error::Broken {
+                    step: "promote",
+                    peer: order.server.to_string(),
+                    why: "no answer".to_owned(),
+                });
+            }
             if order.token < inner.token || inner.servers[&order.server].is_down {
                 return Ok(Outcome::Rejected);
             }
