Split the replacement of primaries: opinion, retirement, promotion

The other instances' views are summed up by a type without I/O, the end of their leases and the promotion are types of their own. A promotion that was rejected before any request went unanswered is no longer kept in the row as requested: nothing can take effect later. Otherwise moved, not changed.

--- /dev/null
+++ b/crates/relay/src/failover/promotion.rs
@@ -0,0 +1,141 @@
+//! Promotes a server and lets all instances know it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::external::Order;
+use crate::external::Outcome;
+use crate::failover::Phase;
+use crate::failover::claim::Claim;
+use crate::group::Group;
+use crate::node::Fencing;
+use crate::node::Node;
+use crate::node::lock;
+use crate::peers::Payload;
+use crate::task;
+
+/// Maximum wait for the reply to a promotion request.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Pause between two attempts of a step.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Attempts of a step before the lease is given up; a new failover gets a new token.
+const ATTEMPTS_MAX: u32 = 60;
+/// How long a promoted server may take to prove its leadership.
+const PROOF_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// The promotion of a server of one group.
+pub struct Promotion<'a> {
+    node: &'a Arc<Node>,
+    group: &'a Arc<Group>,
+}
+
+impl<'a> Promotion<'a> {
+    /// Prepares to promote a server of a group.
+    pub fn open(node: &'a Arc<Node>, group: &'a Arc<Group>) -> Self {
+        Self { node, group }
+    }
+
+    /// Requests a promotion until it is confirmed; `None` if it is rejected or never confirmed, or
+    /// if another instance may have taken the lease over.
+    pub async fn request(&self, claim: &mut Claim, server: &Arc<str>) -> Option<()> {
+        if self.is_unchecked() {
+            // A successor must know the server before the request can take effect.
+            claim.lease.requested = Some(Arc::clone(server));
+            self.renew(claim).await?;
+        }
+        let order = Order {
+            group: Arc::clone(&self.group.name),
+            server: Arc::clone(server),
+            holder: Arc::clone(&self.node.options.name),
+            token: claim.lease.token,
+        };
+        let mut is_any_unanswered = false;
+        for _ in 0..ATTEMPTS_MAX {
+            if self.is_unchecked() && !claim.is_current(self.node.now()) {
+                self.renew(claim).await?;
+            }
+            let promoter = &self.node.dependencies.promoter;
+            let given = timeout(REQUEST_TIMEOUT, promoter.promote(&order)).await;
+            log::info!(
+                "event=order group={} server={server} token={} answer=\"{given:?}\"",
+                order.group,
+                order.token
+            );
+            match given {
+                Ok(Ok(Outcome::Done)) => return Some(()),
+                Ok(Ok(Outcome::Rejected)) => {
+                    if !is_any_unanswered {
+                        claim.lease.requested = None;
+                    }
+                    return None;
+                }
+                Ok(Ok(Outcome::Deferred)) => {}
+                Ok(Err(_)) | Err(_) => is_any_unanswered = true,
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// Waits until the promoted server proves its leadership, or `PROOF_TIMEOUT` passes.
+    pub async fn wait_for_proof(&self, chosen: &Arc<str>) {
+        let deadline = Instant::now() + PROOF_TIMEOUT;
+        while Instant::now() < deadline {
+            if let Some(server) = self.group.server(chosen) {
+                task::leader::probe(self.node, self.group, &server).await;
+            }
+            if self
+                .group
+                .leader()
+                .is_some_and(|leader| leader.name == *chosen)
+            {
+                return;
+            }
+            sleep(RETRY_PAUSE / 2).await;
+        }
+    }
+
+    /// Records the new leader in the lease; where leaders are leased, this lets the instances rely
+    /// on it.
+    pub async fn record(&self, claim: &mut Claim, leader: &Arc<str>) {
+        if let Some(server) = self.group.server(leader) {
+            claim.lease.leader = Some(lock(&server.entry).address);
+        }
+        claim.lease.requested = None;
+        if !self.is_unchecked() {
+            return;
+        }
+        for _ in 0..ATTEMPTS_MAX {
+            let is_written = claim.renew(self.node, self.group, Phase::Appointed).await;
+            if is_written || !claim.is_current(self.node.now()) {
+                return;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Tells the other instances about the new leader, so that they need not search for it.
+    pub async fn announce(&self, leader: &Arc<str>) {
+        for address in self.node.peer_addresses().into_values() {
+            let payload = Payload::NewLeader {
+                group: Arc::clone(&self.group.name),
+                server: Arc::clone(leader),
+            };
+            self.node.peers.send(self.node, address, payload).await;
+        }
+    }
+
+    fn is_unchecked(&self) -> bool {
+        self.node.options.fencing == Fencing::Unchecked
+    }
+
+    /// Renews the lease; `None` if that fails.
+    async fn renew(&self, claim: &mut Claim) -> Option<()> {
+        let is_renewed = claim.renew(self.node, self.group, Phase::Working).await;
+        is_renewed.then_some(())
+    }
+}
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,54 +1,41 @@
 //! The steps of replacing a group's primary.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use account::rate;
-use account::rate::ROW_PREFIX;
 use clock::Span;
 use endpoint::Position;
 use endpoint::Role;
 use futures::future::join;
 use futures::future::join_all;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
-use crate::external::Order;
-use crate::external::Outcome;
 use crate::external::Status;
 use crate::failover::Choice;
+use crate::failover::Opinion;
 use crate::failover::Phase;
+use crate::failover::Promotion;
 use crate::failover::Reason;
-use crate::failover::Revocation;
+use crate::failover::Retirement;
 use crate::failover::Survey;
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
 use crate::failover::command;
-use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
 use crate::group::Server;
 use crate::message::Statement;
 use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
-use crate::peers::Payload;
-use crate::peers::View;
 use crate::settings;
 use crate::task;
 
 /// Maximum wait for other instances' views of the group; a round trip between zones takes 3 ms.
 const PEER_VIEW_TIMEOUT: Duration = Duration::from_millis(80);
-/// Maximum wait for the reply to a promotion request.
-const PROMOTION_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// A promotion usually takes effect within this time; the platform specifies a few hundred
 /// milliseconds.
 const PROMOTION_SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// Maximum wait for other instances to give up their leader leases in one attempt.
-const REVOCATION_TIMEOUT: Duration = Duration::from_millis(40);
 /// Pause between two attempts of a step.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Attempts of a step before the lease is given up; a new failover gets a new token.
@@ -56,8 +43,6 @@
 /// Attempts to resume replicas; a server that is back from a partition drops its old connections
 /// within three seconds.
 const RESUME_ATTEMPTS_MAX: u32 = 40;
-/// How long a promoted server may take to prove its leadership.
-const PROOF_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// An instance that has run this long knows every server of the last half minute.
 const MEMBERSHIP_LEARNED_AFTER: Span = Span::from_secs(30);
 /// How often the lease is renewed, so that no other instance presumes the holder dead.
@@ -76,11 +61,9 @@
     term: u64,
     /// Whether the group's primary was ever replaced.
     was_replaced: bool,
-    /// The leader leases of other instances that must end first; `None` where a replaced primary
+    /// The end of the other instances' reliance on the old primary; `None` where a replaced primary
     /// refuses statements by itself.
-    revocation: Option<Revocation>,
-    /// The other instances registered in the table, by name.
-    instances: BTreeMap<Arc<str>, SocketAddr>,
+    retirement: Option<Retirement>,
 }
 
 impl<'a> Replacement<'a> {
@@ -93,8 +76,7 @@
             old: group.leader(),
             term: lock(&group.leadership).term(),
             was_replaced: false,
-            revocation: None,
-            instances: BTreeMap::new(),
+            retirement: None,
         }
     }
 
@@ -107,57 +89,24 @@
             .query_views(self.node, &self.group.name, PEER_VIEW_TIMEOUT)
             .await;
         let old = self.old.as_ref().map(|old| &old.name);
-        let confirming = views
-            .iter()
-            .filter(|view| view.is_prober)
-            .filter(|view| view.leader.is_some() && view.leader.as_ref() == old)
-            .count();
-        let probers = views.iter().filter(|view| view.is_prober).count();
-        let newer = views
-            .iter()
-            .filter(|view| view.leader.is_some() && view.leader.as_ref() != old)
-            .count();
-        if views.len() * 2 < self.node.peer_addresses().len() {
+        let opinion = Opinion::of(&views, old);
+        if opinion.answers * 2 < self.node.peer_addresses().len() {
             // Most instances are unreachable, so they may reach a primary that this one can't.
             self.group
                 .is_leader_unreachable
                 .store(true, Ordering::Relaxed);
         }
-        let is_confirmed = match self.reason {
-            Reason::Silent => confirming * 2 > probers + 1,
-            Reason::Stuck => views.iter().any(View::has_recent_commit),
-            Reason::Leaving | Reason::Missing | Reason::Unfinished => false,
-        };
-        if is_confirmed || newer > 0 {
-            log::info!(
-                "event=failover-put-off group={} reason={} vouchers={confirming} newer={newer} asked={}",
-                self.group.name,
-                self.reason,
-                views.len()
-            );
-            if newer > 0
-                && let Some(old) = old
-            {
-                self.group.on_not_leader(old);
-            }
-            if newer == 0 && self.reason == Reason::Silent {
-                self.group
-                    .is_leader_unreachable
-                    .store(true, Ordering::Relaxed);
-            }
+        if opinion.contradicts(self.reason) {
+            self.put_off(&opinion);
             return;
         }
-        let acknowledged = views
-            .iter()
-            .map(|view| view.acknowledged)
-            .fold(lock(&self.group.leadership).acknowledged(), Position::max);
+        let acknowledged = lock(&self.group.leadership).acknowledged();
+        let acknowledged = acknowledged.max(opinion.acknowledged);
         if !self.knows_membership() {
             return;
         }
-        let known_token = views
-            .iter()
-            .map(|view| view.token)
-            .fold(self.node.leases.newest_token(&self.group.name), u64::max);
+        let known_token = self.node.leases.newest_token(&self.group.name);
+        let known_token = known_token.max(opinion.token);
         let Some(mut claim) = Claim::acquire(self.node, self.group, known_token).await else {
             return;
         };
@@ -175,7 +124,8 @@
             return;
         }
         if self.is_unchecked() {
-            self.open_revocation(&claim).await;
+            let token = claim.lease.token;
+            self.retirement = Some(Retirement::open(self.node, self.group, token).await);
         }
         let promoted = self.replace(&mut claim, acknowledged).await;
         log::info!(
@@ -186,8 +136,9 @@
             self.node.now().since(begun).as_millis()
         );
         if let Some(leader) = &promoted {
-            self.appoint(&mut claim, leader).await;
-            self.announce(leader).await;
+            let promotion = self.promotion();
+            promotion.record(&mut claim, leader).await;
+            promotion.announce(leader).await;
             self.resume(leader).await;
         }
         self.release(&mut claim, promoted.is_some()).await;
@@ -196,10 +147,36 @@
         self.node.leader_appointed.notify_one();
     }
 
+    /// Records that the other instances' views speak against a replacement.
+    fn put_off(&self, opinion: &Opinion) {
+        log::info!(
+            "event=failover-put-off group={} reason={} vouchers={} newer={} asked={}",
+            self.group.name,
+            self.reason,
+            opinion.confirming,
+            opinion.newer,
+            opinion.answers
+        );
+        if opinion.newer == 0 && self.reason == Reason::Silent {
+            self.group
+                .is_leader_unreachable
+                .store(true, Ordering::Relaxed);
+        }
+        if opinion.newer > 0
+            && let Some(old) = &self.old
+        {
+            self.group.on_not_leader(&old.name);
+        }
+    }
+
     fn is_unchecked(&self) -> bool {
         self.node.options.fencing == Fencing::Unchecked
     }
 
+    fn promotion(&self) -> Promotion<'a> {
+        Promotion::open(self.node, self.group)
+    }
+
     /// Takes the leader named by the table for the one to replace, as any other server that acts as
     /// primary has been replaced; returns whether it still must be.
     fn take_appointed(&mut self, claim: &Claim) -> bool {
@@ -230,85 +207,12 @@
             .change_leader_lease(|lease| lease.set_candidate(address));
     }
 
-    /// Gives up this instance's leader lease and finds out who else may hold one.
-    async fn open_revocation(&mut self, claim: &Claim) {
-        let recorded = self.node.now();
-        self.group.revoke_leader_lease(claim.lease.token);
-        let list = self.node.dependencies.table.list(ROW_PREFIX);
-        let registered = match timeout(TABLE_TIMEOUT, list).await {
-            Ok(Ok(rows)) => Some(rate::registered(&rows)),
-            failed => {
-                log::info!(
-                    "event=instances-unread group={} why=\"{failed:?}\"",
-                    self.group.name
-                );
-                None
-            }
-        };
-        let others = registered.map(|mut registered| {
-            registered.remove(&self.node.options.name);
-            registered
-        });
-        let names = others
-            .as_ref()
-            .map(|others| others.keys().cloned().collect());
-        self.instances = others.unwrap_or_default();
-        self.revocation = Some(Revocation::open(recorded, names));
-    }
-
-    /// Asks the instances that may still rely on the old leader to stop.
-    async fn revoke_leases(&mut self, token: u64) {
-        let Some(revocation) = &mut self.revocation else {
-            return;
-        };
-        if revocation.has_ended(self.node.now()) {
-            return;
-        }
-        let mut awaited = self.instances.clone();
-        awaited.retain(|name, _| revocation.awaited().contains(name));
-        let given_up = self
-            .node
-            .peers
-            .revoke_leader_lease(
-                self.node,
-                &self.group.name,
-                token,
-                &awaited,
-                REVOCATION_TIMEOUT,
-            )
-            .await;
-        for name in given_up {
-            revocation.on_given_up(&name);
-        }
-    }
-
     /// Returns whether no instance relies on the old leader any more.
     fn is_unused(&self, survey: &Survey) -> bool {
         // A demoted primary refuses statements.
         let is_demoted = survey.demoted.is_some();
-        let revocation = self.revocation.as_ref();
-        is_demoted || revocation.is_none_or(|revocation| revocation.has_ended(self.node.now()))
-    }
-
-    /// Records the new leader, which lets the instances rely on it.
-    async fn appoint(&self, claim: &mut Claim, leader: &Arc<str>) {
-        let server = self.group.server(leader);
-        if let Some(server) = server {
-            claim.lease.leader = Some(lock(&server.entry).address);
-        }
-        claim.lease.requested = None;
-        if !self.is_unchecked() {
-            return;
-        }
-        for _ in 0..ATTEMPTS_MAX {
-            if claim.renew(self.node, self.group, Phase::Appointed).await {
-                return;
-            }
-            if !claim.is_current(self.node.now()) {
-                return;
-            }
-            sleep(RETRY_PAUSE).await;
-        }
+        let retirement = self.retirement.as_ref();
+        is_demoted || retirement.is_none_or(|retirement| retirement.has_ended(self.node))
     }
 
     /// Finishes a replacement whose holder died, in a group that has a leader: replicas may be left
@@ -379,7 +283,9 @@
             {
                 return Some(old);
             }
-            self.revoke_leases(claim.lease.token).await;
+            if let Some(retirement) = &mut self.retirement {
+                retirement.request(self.node, self.group).await;
+            }
             self.collect(&mut survey).await;
             if !self.is_unchecked()
                 && let Some(leader) = self.other_leader()
@@ -399,9 +305,9 @@
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
                         self.group.name
                     );
-                    self.promote(claim, &chosen).await?;
+                    self.promotion().request(claim, &chosen).await?;
                     self.believe(self.group.server(&chosen).as_ref());
-                    self.wait_for_leader(&chosen).await;
+                    self.promotion().wait_for_proof(&chosen).await;
                     return Some(chosen);
                 }
                 Choice::Wait { why } => self.log_wait(attempt, why, &survey),
@@ -459,7 +365,7 @@
             false => claim.may_have_pending_promotion(),
         };
         if is_pending {
-            self.promote(claim, &old.name).await?;
+            self.promotion().request(claim, &old.name).await?;
             // Keeps the lease until the promotion has taken effect.
             sleep(PROMOTION_SETTLE_TIME).await;
         }
@@ -575,76 +481,6 @@
         }
     }
 
-    /// Requests a promotion until it is confirmed; `None` if it is rejected or never confirmed.
-    async fn promote(&self, claim: &mut Claim, server: &Arc<str>) -> Option<()> {
-        if self.is_unchecked() {
-            claim.lease.requested = Some(Arc::clone(server));
-            if !claim.renew(self.node, self.group, Phase::Working).await {
-                return None;
-            }
-        }
-        let order = Order {
-            group: Arc::clone(&self.group.name),
-            server: Arc::clone(server),
-            holder: Arc::clone(&self.node.options.name),
-            token: claim.lease.token,
-        };
-        for _ in 0..ATTEMPTS_MAX {
-            if self.is_unchecked()
-                && !claim.is_current(self.node.now())
-                && !claim.renew(self.node, self.group, Phase::Working).await
-            {
-                // Another instance may have taken over and requested a promotion.
-                return None;
-            }
-            let given = timeout(
-                PROMOTION_TIMEOUT,
-                self.node.dependencies.promoter.promote(&order),
-            )
-            .await;
-            log::info!(
-                "event=order group={} server={server} token={} answer=\"{given:?}\"",
-                order.group,
-                order.token
-            );
-            match given {
-                Ok(Ok(Outcome::Done)) => return Some(()),
-                Ok(Ok(Outcome::Rejected)) => return None,
-                Ok(Ok(Outcome::Deferred) | Err(_)) | Err(_) => sleep(RETRY_PAUSE).await,
-            }
-        }
-        None
-    }
-
-    /// Waits until the promoted server proves its leadership, or `PROOF_TIMEOUT` passes.
-    async fn wait_for_leader(&self, chosen: &Arc<str>) {
-        let deadline = Instant::now() + PROOF_TIMEOUT;
-        while Instant::now() < deadline {
-            if let Some(server) = self.group.server(chosen) {
-                task::leader::probe(self.node, self.group, &server).await;
-            }
-            if self
-                .group
-                .leader()
-                .is_some_and(|leader| leader.name == *chosen)
-            {
-                return;
-            }
-            sleep(RETRY_PAUSE / 2).await;
-        }
-    }
-
-    /// Tells the other instances about the new leader, so that they need not search for it.
-    async fn announce(&self, leader: &Arc<str>) {
-        for address in self.node.peer_addresses().into_values() {
-            let payload = Payload::NewLeader {
-                group: Arc::clone(&self.group.name),
-                server: Arc::clone(leader),
-            };
-            self.node.peers.send(self.node, address, payload).await;
-        }
-    }
-
     /// Resumes paused replicas.
     async fn resume(&self, leader: &Arc<str>) {
         for _ in 0..RESUME_ATTEMPTS_MAX {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod leadership;
 mod lease;
 mod logger;
+mod opinion;
 mod pool;
 mod replacement;
 mod reports;
