Number queries between instances apart from those of earlier runs

An instance that stops polling the store keeps queries pending and answers them when it polls again, here after the asking instance had restarted and used the same numbers: the time from the old query's arrival put the confirmation seconds into the future, so that the instance, which the store turned away, trusted its keys until the store was back.

Queries are numbered from the run's random incarnation now.

--- a/crates/relay/src/peers/confirmations.rs
+++ b/crates/relay/src/peers/confirmations.rs
@@ -47,9 +47,20 @@
 }
 
 impl Confirmations {
+    /// Opens the queries of one run of an instance.
+    ///
+    /// Their numbers start at the run's `incarnation`: an instance that confirms nothing for long
+    /// may answer a query of an earlier run.
+    pub fn open(incarnation: u64) -> Self {
+        Self {
+            next_id: incarnation,
+            ..Self::default()
+        }
+    }
+
     /// Starts a query and returns its number; an earlier query is abandoned.
     pub fn query(&mut self, now: Time) -> u64 {
-        self.next_id += 1;
+        self.next_id = self.next_id.wrapping_add(1);
         self.outstanding = Some(Outstanding {
             id: self.next_id,
             sent: now,
--- a/crates/relay/src/peers/report.rs
+++ b/crates/relay/src/peers/report.rs
@@ -37,9 +37,17 @@
 }
 
 impl Reports {
+    /// Opens the queries of one run of an instance, whose numbers start at its `incarnation`.
+    pub fn open(incarnation: u64) -> Self {
+        Self {
+            next_id: incarnation,
+            ..Self::default()
+        }
+    }
+
     /// Starts a query and returns its number; an earlier query is abandoned.
     pub fn query(&mut self, now: Time) -> u64 {
-        self.next_id += 1;
+        self.next_id = self.next_id.wrapping_add(1);
         self.outstanding = Some((self.next_id, now));
         self.is_answered = false;
         self.next_id
--- a/crates/relay/src/peers/topic.rs
+++ b/crates/relay/src/peers/topic.rs
@@ -26,6 +26,15 @@
 }
 
 impl<T> Topics<T> {
+    /// Opens a value for each topic.
+    pub fn open(value: impl Fn() -> T) -> Self {
+        Self {
+            settings: value(),
+            leaders: value(),
+            servers: value(),
+        }
+    }
+
     /// Returns the value of a topic.
     pub fn get(&self, topic: Topic) -> &T {
         match topic {
--- a/crates/relay/tests/relay/confirmations.rs
+++ b/crates/relay/tests/relay/confirmations.rs
@@ -102,3 +102,21 @@
             .is_empty()
     );
 }
+
+/// An instance that stops polling the store answers queries much later. The querying instance may
+/// have restarted meanwhile, and would take the keys for confirmed at a time yet to come.
+#[test]
+fn the_answer_to_a_query_of_an_earlier_run_confirms_nothing() {
+    let mut responder = Confirmations::default();
+    let mut former = Confirmations::open(1_000);
+    let id = former.query(at(0));
+    responder.on_query(at(50_000), address(1), id);
+    let answers = responder.on_confirmed(Topic::Settings, at(60_000), 7);
+    let [(_, Payload::Confirmed { id, since_ms, .. })] = answers.as_slice() else {
+        panic!("expected one response: {answers:?}");
+    };
+    let mut restarted = Confirmations::open(77_000_000);
+    restarted.query(at(9_500));
+    assert!(!restarted.on_response(*id, 7, *since_ms));
+    assert_eq!(restarted.take_confirmation(), None);
+}
