--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -98,16 +98,13 @@
 }
 
 impl Leases {
-    /// Records a lease that this instance has read or written; returns whether it is as new as
-    /// every one before. An older one shows that the table returned from an older copy.
-    pub fn on_lease(&self, group: &Arc<str>, lease: &Lease) -> bool {
+    /// Records a lease that this instance has read or written, unless a newer one is known.
+    pub fn on_lease(&self, group: &Arc<str>, lease: &Lease) {
         let mut newest = lock(&self.newest);
-        let known = newest.entry(Arc::clone(group)).or_insert(lease.clone());
-        if lease.token < known.token {
-            return false;
+        let known = newest.get(group).map_or(0, |known| known.token);
+        if lease.token >= known {
+            newest.insert(Arc::clone(group), lease.clone());
         }
-        known.clone_from(lease);
-        true
     }
 
     /// Returns the newest lease of a group that this instance knows.
--- a/crates/relay/src/node/share.rs
+++ b/crates/relay/src/node/share.rs
@@ -3,7 +3,7 @@
 use clock::Span;
 
 /// Thousandths of a connection in one.
-const MILLI: u64 = 1_000;
+pub(super) const MILLI: u64 = 1_000;
 /// Connections that an instance may open at a time if its share is smaller; the time for which it
 /// keeps them keeps their mean number within the share.
 const SCARCE_CONNECTIONS: usize = 3;
--- a/crates/relay/src/node/shares.rs
+++ b/crates/relay/src/node/shares.rs
@@ -7,9 +7,8 @@
 use clock::Time;
 
 use crate::node::Share;
+use crate::node::share::MILLI;
 
-/// Thousandths of a connection in one.
-const MILLI: u64 = 1_000;
 /// A report older than this counts as missing; reports are sent every five seconds and may be lost.
 const REPORT_AGE: Span = Span::from_secs(11);
 /// One part in this many of the connections is divided evenly, so that an instance with sudden
