Log how much of a reply had arrived when the store counts as lost

Reads that are watched for changes report how much of the reply has arrived; store-lost names the time and the bytes. Calls that fail while the store is lost are logged at debug level. No decision changes.

--- a/crates/relay/src/task/follower.rs
+++ b/crates/relay/src/task/follower.rs
@@ -5,7 +5,9 @@
 
 use store::Batch;
 use store::Delta;
+use store::Progress;
 use store::Watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -54,14 +56,20 @@
     /// Waits up to about `wait` for rows. Returns `None` if the call failed or all rows must be
     /// read again, which the next call does.
     pub async fn next(&mut self, wait: Duration) -> Option<Update<T>> {
+        let begun = Instant::now();
+        let progress = Progress::default();
         let called = match self.version {
-            None => timeout(REPLY_MARGIN, self.source.read())
+            None => timeout(REPLY_MARGIN, self.source.read(&progress))
                 .await
                 .map(|read| read.map(Delta::Batch)),
             Some(after) => {
                 // After an outage the store must reply without waiting for changes.
                 let wait = if self.is_lost { Duration::ZERO } else { wait };
-                timeout(wait + REPLY_MARGIN, self.source.follow(after, wait)).await
+                timeout(
+                    wait + REPLY_MARGIN,
+                    self.source.follow(after, wait, &progress),
+                )
+                .await
             }
         };
         match called {
@@ -82,17 +90,27 @@
                 self.version = None;
                 None
             }
-            Ok(Err(error)) => self.on_failure(&error).await,
-            Err(_) => self.on_failure(&"no answer in time").await,
-        }
-    }
-
-    async fn on_failure(&mut self, why: &(dyn std::fmt::Display + Sync)) -> Option<Update<T>> {
-        if !self.is_lost {
-            log::warn!("event=store-lost what={} why=\"{why}\"", self.kind);
+            failed => {
+                let why = match failed {
+                    Ok(Err(error)) => error.to_string(),
+                    _ => "no answer in time".to_owned(),
+                };
+                let level = if self.is_lost {
+                    log::Level::Debug
+                } else {
+                    log::Level::Warn
+                };
+                log::log!(
+                    level,
+                    "event=store-lost what={} ms={} bytes={} why=\"{why}\"",
+                    self.kind,
+                    begun.elapsed().as_millis(),
+                    progress.received()
+                );
+                self.is_lost = true;
+                sleep(RETRY_PAUSE).await;
+                None
+            }
         }
-        self.is_lost = true;
-        sleep(RETRY_PAUSE).await;
-        None
     }
 }
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -33,6 +33,7 @@
 use store::Error;
 use store::Memory;
 use store::Outcome;
+use store::Progress;
 use store::Row;
 use store::Table;
 use store::Watch;
@@ -51,12 +52,28 @@
 /// The key of the account `shop`.
 pub const KEY: &str = "k1";
 
+/// How the rows in a reply reach the caller.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Delivery {
+    /// The parts that arrive one after the other.
+    pub parts: u32,
+    /// The pause before each part.
+    pub pause: Duration,
+    /// Whether nothing arrives after the last part, not even the end.
+    pub is_cut_off: bool,
+}
+
 /// An in-memory feed of rows.
 pub struct Rows<T> {
     rows: Mutex<(u64, BTreeMap<Arc<str>, T>)>,
     changed: Notify,
     /// Whether calls fail.
     is_down: AtomicBool,
+    /// Whether a follower gets changed rows rather than having to read all.
+    keeps_history: AtomicBool,
+    delivery: Mutex<Delivery>,
+    /// The number of replies with rows that were begun.
+    deliveries: AtomicU64,
 }
 
 impl<T: Clone> Rows<T> {
@@ -65,9 +82,51 @@
             rows: Mutex::new((1, BTreeMap::new())),
             changed: Notify::new(),
             is_down: AtomicBool::new(false),
+            keeps_history: AtomicBool::new(false),
+            delivery: Mutex::default(),
+            deliveries: AtomicU64::new(0),
         })
     }
 
+    /// Sets how the rows in later replies reach the caller.
+    pub fn set_delivery(&self, delivery: Delivery) {
+        *self.delivery.lock().expect("no test panics with the lock") = delivery;
+    }
+
+    /// Makes followers get changed rows instead of reading all again.
+    pub fn keep_history(&self) {
+        self.keeps_history.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the number of replies with rows that were begun.
+    pub fn deliveries(&self) -> u64 {
+        self.deliveries.load(Ordering::Relaxed)
+    }
+
+    async fn deliver(&self, progress: &Progress) {
+        self.deliveries.fetch_add(1, Ordering::Relaxed);
+        let delivery = *self.delivery.lock().expect("no test panics with the lock");
+        for _ in 0..delivery.parts {
+            tokio::time::sleep(delivery.pause).await;
+            progress.add(1);
+        }
+        if delivery.is_cut_off {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    fn batch(&self) -> Batch<T> {
+        let rows = self.rows.lock().expect("no test panics with the lock");
+        let changes = rows.1.iter().map(|(name, value)| Change {
+            name: Arc::clone(name),
+            value: Some(value.clone()),
+        });
+        Batch {
+            changes: changes.collect(),
+            version: rows.0,
+        }
+    }
+
     /// Changes the rows.
     pub fn change(&self, change: impl FnOnce(&mut BTreeMap<Arc<str>, T>)) {
         {
@@ -98,20 +157,19 @@
 
 #[async_trait]
 impl<T: Clone + Send + Sync> Watch<T> for Rows<T> {
-    async fn read(&self) -> Result<Batch<T>, Error> {
+    async fn read(&self, progress: &Progress) -> Result<Batch<T>, Error> {
         self.check()?;
-        let rows = self.rows.lock().expect("no test panics with the lock");
-        let changes = rows.1.iter().map(|(name, value)| Change {
-            name: Arc::clone(name),
-            value: Some(value.clone()),
-        });
-        Ok(Batch {
-            changes: changes.collect(),
-            version: rows.0,
-        })
+        let batch = self.batch();
+        self.deliver(progress).await;
+        Ok(batch)
     }
 
-    async fn follow(&self, after: u64, wait: Duration) -> Result<Delta<T>, Error> {
+    async fn follow(
+        &self,
+        after: u64,
+        wait: Duration,
+        progress: &Progress,
+    ) -> Result<Delta<T>, Error> {
         self.check()?;
         let is_behind = || self.rows.lock().expect("no panic").0 > after;
         if !is_behind() {
@@ -119,6 +177,11 @@
             let _elapsed = tokio::time::timeout(wait, self.changed.notified()).await;
         }
         self.check()?;
+        if is_behind() && self.keeps_history.load(Ordering::Relaxed) {
+            let batch = self.batch();
+            self.deliver(progress).await;
+            return Ok(Delta::Batch(batch));
+        }
         if is_behind() {
             // The feed keeps no history, so the follower reads all rows again.
             return Ok(Delta::Compacted);
--- a/crates/relay/tests/relay/world/mod.rs
+++ b/crates/relay/tests/relay/world/mod.rs
@@ -8,6 +8,7 @@
 pub use caller::Client;
 pub use group::GROUP;
 pub use group::Group;
+pub use instance::Delivery;
 pub use instance::KEY;
 pub use instance::World;
 pub use instance::revision;
--- a/crates/store/src/watch.rs
+++ b/crates/store/src/watch.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 
 use crate::Error;
+use crate::Progress;
 
 /// A row that was read or that changed, decoded by the adapter.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,11 +36,18 @@
 }
 
 /// A table that can be read in full and then watched for changes.
+///
+/// Calls wait for the reply as long as it takes; `progress` shows how much of it has arrived.
 #[async_trait]
 pub trait Watch<T>: Send + Sync {
     /// Reads all rows and the version of the store.
-    async fn read(&self) -> Result<Batch<T>, Error>;
+    async fn read(&self, progress: &Progress) -> Result<Batch<T>, Error>;
 
     /// Long-polls for changes after a version; returns after about `wait` at the latest.
-    async fn follow(&self, after: u64, wait: Duration) -> Result<Delta<T>, Error>;
+    async fn follow(
+        &self,
+        after: u64,
+        wait: Duration,
+        progress: &Progress,
+    ) -> Result<Delta<T>, Error>;
 }
