--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod reports;
 mod sessions;
 mod shares;
+mod slow_settings;
 mod stops;
 mod survey;
 mod world;
--- /dev/null
+++ b/crates/relay/tests/relay/slow_settings.rs
@@ -0,0 +1,91 @@
+//! Tests of settings that take long to arrive.
+
+use std::time::Duration;
+
+use relay::message::Code;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::world::Delivery;
+use crate::world::KEY;
+use crate::world::World;
+use crate::world::revision;
+
+/// Starts a change of the settings that drops the route of `gallery`.
+fn drop_gallery(world: &World, number: u64) {
+    let mut next = revision(number);
+    next.routes.remove("gallery");
+    world.set_revision(next);
+}
+
+fn every(pause_ms: u64, parts: u32) -> Delivery {
+    Delivery {
+        parts,
+        pause: Duration::from_millis(pause_ms),
+        is_cut_off: false,
+    }
+}
+
+/// A link that needs longer for the settings than any single wait of the instance.
+#[tokio::test(start_paused = true)]
+async fn settings_that_take_two_seconds_to_arrive_come_into_force() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    world.revisions.set_delivery(every(100, 20));
+    drop_gallery(&world, 2);
+    sleep(Duration::from_millis(4_000)).await;
+    let refused = instance.connect_as("gallery", KEY).await;
+    let refused = refused.err().expect("the route was dropped 4 s ago");
+    assert_eq!(refused.code, Code::UnknownDatabase);
+}
+
+/// Callers that are refused meanwhile must not make the instance start over.
+#[tokio::test(start_paused = true)]
+async fn refused_callers_do_not_interrupt_the_arrival_of_settings() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    world.revisions.set_delivery(every(100, 50));
+    let before = world.revisions.deliveries();
+    drop_gallery(&world, 2);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(6_000) {
+        if let Ok(mut client) = instance.connect_as("orders", KEY).await {
+            let _refused = client.write("x", "1").await;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(instance.connect_as("gallery", KEY).await.is_err());
+    assert_eq!(world.revisions.deliveries(), before + 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn settings_that_stop_arriving_are_requested_again() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    world.revisions.set_delivery(Delivery {
+        is_cut_off: true,
+        ..every(100, 3)
+    });
+    drop_gallery(&world, 2);
+    sleep(Duration::from_millis(700)).await;
+    world.revisions.set_delivery(Delivery::default());
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(instance.connect_as("gallery", KEY).await.is_err());
+}
+
+/// The call that brings the settings began up to a long poll before they were sent.
+#[tokio::test(start_paused = true)]
+async fn keys_do_not_lapse_after_settings_that_arrived_slowly() {
+    let world = World::open();
+    world.revisions.keep_history();
+    let instance = world.start("i1").await;
+    world.revisions.set_delivery(every(100, 12));
+    let mut client = instance.connect("orders").await;
+    for number in 2..6 {
+        for _ in 0..40 {
+            client.write("x", "1").await.expect("the key is in force");
+            sleep(Duration::from_millis(100)).await;
+        }
+        world.set_revision(revision(number));
+    }
+}
