Give up a reply of the store only once it stops arriving

Cause: a call for settings or entries had 700 ms beyond its long poll for the whole reply. Settings of 4,266 routes are about 1,030 KB; over 10 Mbit/s they take 0.85 s. The call was given up and began again at the first byte, so the settings could never arrive, and the repeats filled the link.

The limit now counts from the last part that arrived. A caller that is refused no longer interrupts a reply that arrives. keys_do_not_lapse... had assumed keys of 3 s, which two long polls and 1.2 s of arrival exceed on any code; it uses the 4.9 s of the deployments now, fails before this change and passes after it.

Conclusion: the cause is a time limit on a transfer whose size grows; mended for settings, keys, routes and entries.

--- a/crates/relay/src/task/follower.rs
+++ b/crates/relay/src/task/follower.rs
@@ -1,5 +1,7 @@
 //! Follows rows of the store across outages and lost history.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,10 +11,11 @@
 use store::Watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
+use tokio::time::sleep_until;
 
-/// How long a reply may take beyond the long-poll wait before the connection counts as dead.
-const REPLY_MARGIN: Duration = Duration::from_millis(700);
+/// How long no part of a reply may arrive, beyond the long-poll wait, before the connection counts
+/// as dead. The whole reply may take longer: its size and the link decide.
+const STALL_LIMIT: Duration = Duration::from_millis(700);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -53,27 +56,25 @@
         self.version = None;
     }
 
-    /// Waits up to about `wait` for rows. Returns `None` if the call failed or all rows must be
-    /// read again, which the next call does.
-    pub async fn next(&mut self, wait: Duration) -> Option<Update<T>> {
+    /// Waits up to about `wait` for rows, and longer while their reply arrives. Returns `None` if the
+    /// call failed or all rows must be read again, which the next call does.
+    pub async fn next(&mut self, wait: Duration, progress: &Progress) -> Option<Update<T>> {
         let begun = Instant::now();
-        let progress = Progress::default();
         let called = match self.version {
-            None => timeout(REPLY_MARGIN, self.source.read(&progress))
-                .await
-                .map(|read| read.map(Delta::Batch)),
+            None => {
+                let call = self.source.read(progress);
+                let read = until_stalled(Duration::ZERO, progress, call).await;
+                read.map(|read| read.map(Delta::Batch))
+            }
             Some(after) => {
                 // After an outage the store must reply without waiting for changes.
                 let wait = if self.is_lost { Duration::ZERO } else { wait };
-                timeout(
-                    wait + REPLY_MARGIN,
-                    self.source.follow(after, wait, &progress),
-                )
-                .await
+                let call = self.source.follow(after, wait, progress);
+                until_stalled(wait, progress, call).await
             }
         };
         match called {
-            Ok(Ok(Delta::Batch(batch))) => {
+            Some(Ok(Delta::Batch(batch))) => {
                 let is_recovery = std::mem::take(&mut self.is_lost);
                 if is_recovery {
                     log::info!("event=store-regained what={}", self.kind);
@@ -85,14 +86,14 @@
                     is_recovery,
                 })
             }
-            Ok(Ok(Delta::Compacted)) => {
+            Some(Ok(Delta::Compacted)) => {
                 log::info!("event=history-lost what={}", self.kind);
                 self.version = None;
                 None
             }
             failed => {
                 let why = match failed {
-                    Ok(Err(error)) => error.to_string(),
+                    Some(Err(error)) => error.to_string(),
                     _ => "no answer in time".to_owned(),
                 };
                 let level = if self.is_lost {
@@ -114,3 +115,23 @@
         }
     }
 }
+
+/// Runs a call until it ends; `None` once no part of its reply has arrived for `STALL_LIMIT`, which
+/// at first counts from the end of `wait`.
+async fn until_stalled<R>(
+    wait: Duration,
+    progress: &Progress,
+    call: impl Future<Output = R>,
+) -> Option<R> {
+    let mut call = pin!(call);
+    let mut deadline = Instant::now() + wait + STALL_LIMIT;
+    loop {
+        tokio::select! {
+            // After a pause of the whole process, what has arrived counts before the deadline.
+            biased;
+            reply = &mut call => return Some(reply),
+            () = progress.moved() => deadline = deadline.max(Instant::now() + STALL_LIMIT),
+            () = sleep_until(deadline) => return None,
+        }
+    }
+}
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -7,6 +7,7 @@
 use clock::Time;
 use store::Batch;
 use store::Change;
+use store::Progress;
 
 use crate::node::Node;
 use crate::node::lock;
@@ -45,11 +46,12 @@
     let mut wait = LONG_POLL_WAIT;
     loop {
         let begun = node.now();
+        let progress = Progress::default();
         let update = tokio::select! {
-            update = follower.next(wait) => update,
+            update = follower.next(wait, &progress) => update,
             // A caller was refused because the keys are unconfirmed, so the call is repeated
             // without waiting.
-            () = node.key_unknown.notified(), if wait > Duration::ZERO => {
+            () = refused_before_reply(node, &progress), if wait > Duration::ZERO => {
                 wait = Duration::ZERO;
                 continue;
             }
@@ -65,6 +67,15 @@
     }
 }
 
+/// Waits until a caller is refused because the keys are unconfirmed; does not return once the reply
+/// has begun, since it confirms them soon.
+async fn refused_before_reply(node: &Node, progress: &Progress) {
+    node.key_unknown.notified().await;
+    if progress.received() > 0 {
+        std::future::pending().await
+    }
+}
+
 /// Queries another instance for the store's next confirmation; returns whether the settings are
 /// confirmed.
 async fn query_peer(node: &Arc<Node>, address: SocketAddr) -> bool {
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -11,6 +11,7 @@
 use clock::Span;
 use clock::Time;
 use store::Batch;
+use store::Progress;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -75,7 +76,7 @@
     async fn poll_store(&mut self) -> bool {
         let begun = self.node.now();
         let wait = self.limit_to_expiry(LONG_POLL_WAIT);
-        let Some(update) = self.follower.next(wait).await else {
+        let Some(update) = self.follower.next(wait, &Progress::default()).await else {
             return false;
         };
         if update.is_recovery {
--- a/crates/relay/tests/relay/slow_settings.rs
+++ b/crates/relay/tests/relay/slow_settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use clock::Span;
 use relay::message::Code;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -78,7 +79,8 @@
 async fn keys_do_not_lapse_after_settings_that_arrived_slowly() {
     let world = World::open();
     world.revisions.keep_history();
-    let instance = world.start("i1").await;
+    // Two long polls and the arrival of the settings lie between two confirmations.
+    let instance = world.start_with_grace("i1", Span::from_millis(4_900)).await;
     world.revisions.set_delivery(every(100, 12));
     let mut client = instance.connect("orders").await;
     for number in 2..6 {
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -403,6 +403,14 @@
         instance
     }
 
+    /// Starts an instance that trusts keys for `grace` after a confirmation, and waits until it
+    /// serves.
+    pub async fn start_with_grace(&self, name: &str, grace: Span) -> Instance {
+        let instance = self.start_with(name, Some(grace));
+        instance.wait().await;
+        instance
+    }
+
     /// Starts an instance without waiting until it serves.
     pub fn spawn(&self, name: &str) -> Instance {
         self.start_with(name, Some(Span::from_secs(3)))
--- a/crates/store/src/progress.rs
+++ b/crates/store/src/progress.rs
@@ -1,38 +1,24 @@
 //! How much of a reply has arrived.
 
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use tokio::sync::Notify;
 
-/// How much of the reply to one read has arrived; the adapter records it while the call runs.
+/// How much of the reply to one call has arrived; the adapter records it while the call runs.
 #[derive(Debug, Default)]
 pub struct Progress {
-    /// Whether the head of the reply has arrived.
-    has_begun: AtomicBool,
     /// Bytes of the body that have arrived.
     received: AtomicU64,
     moved: Notify,
 }
 
 impl Progress {
-    /// Records that the head of the reply arrived.
-    pub fn begin(&self) {
-        self.has_begun.store(true, Ordering::Relaxed);
-        self.moved.notify_one();
-    }
-
     /// Records that a part of the body arrived.
     pub fn add(&self, bytes: usize) {
         // CAST: a part of a reply is far smaller than 2^64 bytes.
         self.received.fetch_add(bytes as u64, Ordering::Relaxed);
-        self.begin();
-    }
-
-    /// Returns whether any part of the reply has arrived.
-    pub fn has_begun(&self) -> bool {
-        self.has_begun.load(Ordering::Relaxed)
+        self.moved.notify_one();
     }
 
     /// Returns how many bytes of the body have arrived.
