Keep instances in rotation while settings arrive

Callers saw idle sessions closed all over the fleet, and requests cut, at each change of settings of a megabyte.

Cause: between two confirmations lie two long polls and the arrival of the settings, together over the 3.5 s after which an instance leaves the rotation; all instances left it at the same time and closed their idle sessions.

While a reply with settings arrives an instance stays ready for 4.5 s, and after one that arrived late the next call does not wait for changes.

Conclusion: readiness holds while the store is known to answer; idle_sessions_stay_open_while_settings_arrive fails without either part.

--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -21,6 +21,7 @@
 use account::rate::Limiter;
 use clock::Span;
 use clock::Time;
+use store::Progress;
 use tokio::sync::Notify;
 use tokio::sync::OnceCell;
 
@@ -111,6 +112,8 @@
     pub shares: Mutex<Shares>,
     /// Readiness for new callers.
     pub readiness: Mutex<Readiness>,
+    /// The progress of the current call for settings.
+    pub settings_reply: Mutex<Arc<Progress>>,
     /// Whether the process is stopping.
     pub is_stopping: AtomicBool,
     /// Notified when a caller is refused because the validity of its key is unknown.
@@ -162,6 +165,7 @@
             load: Mutex::default(),
             shares: Mutex::default(),
             readiness: Mutex::default(),
+            settings_reply: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             key_unknown: Notify::new(),
             applied: Notify::new(),
--- a/crates/relay/src/node/readiness.rs
+++ b/crates/relay/src/node/readiness.rs
@@ -6,6 +6,9 @@
 /// After a store outage of this length the instance soon can't serve callers with keys, while
 /// others may. The last confirmation may be one long poll old when the outage begins.
 const STORE_OUTAGE: Span = Span::from_millis(3_500);
+/// The same while settings arrive: they confirm the keys as soon as they are complete, and other
+/// instances receive them at the same time.
+const STORE_OUTAGE_RECEIVING: Span = Span::from_millis(4_500);
 
 /// Readiness of the instance for new callers.
 #[derive(Clone, Copy, Debug, Default)]
@@ -22,9 +25,21 @@
         self.confirmed = self.confirmed.max(Some(begun));
     }
 
+    /// Returns the start of the call in which the store last confirmed the settings.
+    pub fn confirmed(&self) -> Option<Time> {
+        self.confirmed
+    }
+
     /// Updates the state for the time `now`; returns whether the readiness changed.
-    pub fn step(&mut self, now: Time) -> bool {
-        let is_out = self.confirmed.is_none_or(|at| now >= at + STORE_OUTAGE);
+    ///
+    /// `is_receiving` tells whether a part of a reply with the settings has arrived.
+    pub fn step(&mut self, now: Time, is_receiving: bool) -> bool {
+        let limit = if is_receiving {
+            STORE_OUTAGE_RECEIVING
+        } else {
+            STORE_OUTAGE
+        };
+        let is_out = self.confirmed.is_none_or(|at| now >= at + limit);
         let changed = is_out != self.unready_since.is_some();
         if changed {
             self.unready_since = is_out.then_some(now);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -136,8 +136,12 @@
             }
         }
         let (changed, is_ready) = {
+            let is_receiving = lock(&node.settings_reply).received() > 0;
             let mut readiness = lock(&node.readiness);
-            (readiness.step(node.now()), readiness.is_ready())
+            (
+                readiness.step(node.now(), is_receiving),
+                readiness.is_ready(),
+            )
         };
         if changed {
             log::info!("event=rotation ready={is_ready}");
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Span;
 use clock::Time;
 use store::Batch;
 use store::Change;
@@ -23,6 +24,10 @@
 /// Maximum wait for another instance's response: `LONG_POLL_WAIT` plus time for a slow store and
 /// the network. Losing one query must not take an instance out of rotation.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_700);
+/// Once the last confirmation is this old, the store is asked to reply without waiting for changes:
+/// the call that brought large settings may have begun long ago.
+const CONFIRMATION_AGE_MAX: Span = Span::from_secs(2);
+
 /// Follows the settings until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut follower = Follower::open(&node.dependencies.revisions, "settings");
@@ -43,10 +48,17 @@
 
 /// Polls the store for changes; returns whether it replied.
 async fn poll_store(node: &Arc<Node>, follower: &mut Follower<Revision>) -> bool {
-    let mut wait = LONG_POLL_WAIT;
+    let confirmed = lock(&node.readiness).confirmed();
+    let is_late = confirmed.is_some_and(|at| node.now() >= at + CONFIRMATION_AGE_MAX);
+    let mut wait = if is_late {
+        Duration::ZERO
+    } else {
+        LONG_POLL_WAIT
+    };
     loop {
         let begun = node.now();
-        let progress = Progress::default();
+        let progress = Arc::new(Progress::default());
+        *lock(&node.settings_reply) = Arc::clone(&progress);
         let update = tokio::select! {
             update = follower.next(wait, &progress) => update,
             // A caller was refused because the keys are unconfirmed, so the call is repeated
@@ -56,6 +68,7 @@
                 continue;
             }
         };
+        *lock(&node.settings_reply) = Arc::default();
         let Some(update) = update else {
             return false;
         };
--- a/crates/relay/tests/relay/slow_settings.rs
+++ b/crates/relay/tests/relay/slow_settings.rs
@@ -91,3 +91,19 @@
         world.set_revision(revision(number));
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn idle_sessions_stay_open_while_settings_arrive() {
+    let world = World::open();
+    world.revisions.keep_history();
+    let instance = world.start_with_grace("i1", Span::from_millis(4_900)).await;
+    world.revisions.set_delivery(every(100, 15));
+    let mut client = instance.connect("orders").await;
+    // The changes come at different moments of a long poll.
+    for number in 2..16 {
+        sleep(Duration::from_millis(5_100)).await;
+        world.set_revision(revision(number));
+    }
+    let written = client.write("x", "1").await;
+    written.expect("the session is open");
+}
