--- a/crates/daemon/tests/fleet/settings_tree.rs
+++ b/crates/daemon/tests/fleet/settings_tree.rs
@@ -7,6 +7,7 @@
 use settings::Change;
 use settings::Operation;
 
+use super::support::ACCOUNT;
 use super::support::Fleet;
 use super::support::until;
 
@@ -81,3 +82,39 @@
     let revision = control.tree().await.unwrap().revision;
     assert_eq!(revision, base + 1, "the change was applied once");
 }
+
+/// Neither a peer's snapshot nor the table's row arrives within one time limit of a call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn settings_that_take_seconds_to_arrive_come_into_force_everywhere() {
+    let fleet = Fleet::open_slow(42, 3, 400_000).await;
+    let routes: serde_json::Map<String, serde_json::Value> = (0..6_000)
+        .map(|number| {
+            let route = serde_json::json!({
+                "group": "orders", "database": "orders", "accounts": [ACCOUNT]
+            });
+            (format!("more-{number}"), route)
+        })
+        .collect();
+    let service = serde_json::json!({"routes": routes});
+    fleet.change(0, "grow", "services/more", service).await;
+    // Whichever of the instances reads the table for the others, one change comes from another.
+    for index in 0..3 {
+        let rate = 500 + index as u64;
+        fleet
+            .change(
+                index,
+                &format!("rate-{index}"),
+                "accounts/shop/values/rate_per_s",
+                rate.into(),
+            )
+            .await;
+        for index in 0..3 {
+            let control = fleet.control(index);
+            until("the change in force", || async {
+                let tree = control.tree().await.unwrap().tree;
+                tree.accounts[ACCOUNT].values.rate_per_s == Some(rate)
+            })
+            .await;
+        }
+    }
+}
--- a/crates/daemon/tests/fleet/support.rs
+++ b/crates/daemon/tests/fleet/support.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,9 @@
 use settings::Operation;
 use standin::group;
 use standin::group::Group;
+use standin::link;
+use standin::link::Links;
+use standin::link::Route;
 use standin::store;
 use standin::store::Service;
 use tokio_postgres::Client;
@@ -26,6 +30,9 @@
 /// Longest wait for something that must happen.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// More instances than any fleet has.
+const INSTANCES_MAX: u8 = 9;
+
 /// The account of all tests.
 pub const ACCOUNT: &str = "shop";
 
@@ -37,6 +44,8 @@
     pub instances: Vec<Instance>,
     pub key: String,
     pub key_id: Arc<str>,
+    /// The links to the platform and between instances, if they are limited.
+    links: Option<Arc<Links>>,
 }
 
 impl Fleet {
@@ -47,6 +56,23 @@
 
     /// Starts a fleet with these settings.
     pub async fn open_with(number: u8, instances: u8, tree: &serde_json::Value) -> Self {
+        Self::open_linked(number, instances, tree, None).await
+    }
+
+    /// Starts a fleet in one zone whose links to the platform and between instances move this many
+    /// bytes a second.
+    pub async fn open_slow(number: u8, instances: u8, bytes_per_s: u32) -> Self {
+        let bytes_per_s = NonZeroU32::new(bytes_per_s);
+        let tree = tree(number, 10_000, 10_000);
+        Self::open_linked(number, instances, &tree, bytes_per_s).await
+    }
+
+    async fn open_linked(
+        number: u8,
+        instances: u8,
+        tree: &serde_json::Value,
+        bytes_per_s: Option<NonZeroU32>,
+    ) -> Self {
         let servers = (1..=3).map(|server| address(number, 0, server, 5432));
         let options = group::Options::new("orders", servers.collect());
         let group = Group::spawn(options).await.unwrap();
@@ -61,7 +87,11 @@
             instances: Vec::new(),
             key: String::new(),
             key_id: Arc::from(""),
+            links: None,
         };
+        if bytes_per_s.is_some() {
+            fleet.links = Some(link(number, instances, bytes_per_s).await);
+        }
         for index in 1..=instances {
             fleet.start(index).await;
         }
@@ -72,7 +102,10 @@
 
     /// Starts one more instance.
     pub async fn start(&mut self, index: u8) {
-        let options = options(self.number, index);
+        let mut options = options(self.number, index);
+        if self.links.is_some() {
+            use_links(&mut options, self.number);
+        }
         let instance = Instance::open(options).await.unwrap();
         self.instances.push(instance);
     }
@@ -266,6 +299,40 @@
     }
 }
 
+/// Starts links to the platform and to each instance.
+async fn link(number: u8, instances: u8, bytes_per_s: Option<NonZeroU32>) -> Arc<Links> {
+    let route = |listen: SocketAddr, to: SocketAddr| Route {
+        listen,
+        to,
+        from_zone: Some(Arc::from("z")),
+        to_zone: Arc::from("z"),
+    };
+    let platform = route(address(number, 3, 1, 9000), address(number, 1, 1, 9000));
+    let peers = (1..=instances).map(|index| {
+        route(
+            address(number, 3, index, 7000),
+            address(number, 2, index, 7000),
+        )
+    });
+    let options = link::Options {
+        routes: std::iter::once(platform).chain(peers).collect(),
+        bytes_per_s,
+        ..link::Options::default()
+    };
+    Links::spawn(options).await.unwrap()
+}
+
+/// Makes an instance reach the platform and its peers through the links.
+fn use_links(options: &mut Options, number: u8) {
+    options.zone = Arc::from("z");
+    options.platform = Arc::from(format!("http://{}", address(number, 3, 1, 9000)));
+    let via = (1..=INSTANCES_MAX).map(|index| {
+        let [to, link] = [2, 3].map(|kind| address(number, kind, index, 7000).to_string());
+        (Arc::from(to), Arc::from(link))
+    });
+    options.via = via.collect();
+}
+
 fn address(number: u8, kind: u8, host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 60 + number, kind, host], port))
 }
--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -6,6 +6,7 @@
 )]
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 
 use crate::link::Route;
 use crate::link::Zone;
@@ -55,6 +56,8 @@
             optional --listen listen: SocketAddr
             /// Address to forward to, for a single forwarder.
             optional --to to: SocketAddr
+            /// Bytes a second that each connection moves each way (default no limit).
+            optional --bytes-per-s bytes_per_s: NonZeroU32
             /// Delay each way between two zones, in milliseconds (default 0).
             optional --delay-ms delay_ms: f64
             /// Delay each way between a zone and the zone named client, in milliseconds (default 0).
--- a/crates/standin/src/link/forward.rs
+++ b/crates/standin/src/link/forward.rs
@@ -1,6 +1,7 @@
 //! Moves the bytes of one connection.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -29,6 +30,8 @@
 pub(super) struct Path {
     pub(super) to: SocketAddr,
     pub(super) delay: Duration,
+    /// The bytes a second each way.
+    pub(super) bytes_per_s: Option<NonZeroU32>,
     /// The zones, smaller name first.
     pub(super) pair: (Arc<str>, Arc<str>),
     pub(super) cuts: watch::Receiver<Pairs>,
@@ -85,6 +88,11 @@
 ) {
     while let Some((due, chunk)) = receiver.recv().await {
         tokio::time::sleep_until(due).await;
+        if let Some(bytes_per_s) = path.bytes_per_s {
+            // CAST: a chunk is far below 2^32 bytes.
+            tokio::time::sleep(Duration::from_secs(1) * chunk.len() as u32 / bytes_per_s.get())
+                .await;
+        }
         open(path).await;
         path.bytes.fetch_add(chunk.len() as u64, Ordering::Relaxed);
         if to.write_all(&chunk).await.is_err() {
--- a/crates/standin/src/link/links.rs
+++ b/crates/standin/src/link/links.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -38,6 +39,8 @@
     pub delay: Duration,
     /// The delay each way between a zone and the zone named `client`.
     pub client_delay: Duration,
+    /// The bytes a second that each connection moves each way; no limit if missing.
+    pub bytes_per_s: Option<NonZeroU32>,
 }
 
 /// Running links; they stop when this is dropped.
@@ -71,6 +74,7 @@
                 hosts: Arc::clone(&hosts),
                 delay: options.delay,
                 client_delay: options.client_delay,
+                bytes_per_s: options.bytes_per_s,
                 cuts: cuts.clone(),
                 bytes: moved,
             };
@@ -146,6 +150,7 @@
     hosts: Arc<BTreeMap<IpAddr, Arc<str>>>,
     delay: Duration,
     client_delay: Duration,
+    bytes_per_s: Option<NonZeroU32>,
     cuts: watch::Sender<Pairs>,
     bytes: Arc<AtomicU64>,
 }
@@ -185,6 +190,7 @@
         let path = Path {
             to: self.route.to,
             delay,
+            bytes_per_s: self.bytes_per_s,
             pair: pair(from, zone),
             cuts: self.cuts.subscribe(),
             bytes: Arc::clone(&self.bytes),
--- a/crates/standin/src/run.rs
+++ b/crates/standin/src/run.rs
@@ -80,6 +80,7 @@
         zones: args.zone,
         delay: delay("--delay-ms", args.delay_ms)?,
         client_delay: delay("--client-delay-ms", args.client_delay_ms)?,
+        bytes_per_s: args.bytes_per_s,
     };
     let links = link::Links::spawn(options).await?;
     let bound = control::bind(args.control, link::control(links)).await?;
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -34,7 +34,7 @@
         routes: vec![route],
         zones: vec!["a=127.0.0.1".parse().expect("zone")],
         delay: Duration::from_millis(1),
-        client_delay: Duration::ZERO,
+        ..Options::default()
     };
     Links::spawn(options).await.expect("links")
 }
