--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod replacement;
 mod reports;
 mod sessions;
+mod settings_schedule;
 mod shares;
 mod slow_settings;
 mod stops;
--- a/crates/relay/tests/relay/world/mod.rs
+++ b/crates/relay/tests/relay/world/mod.rs
@@ -9,6 +9,7 @@
 pub use group::GROUP;
 pub use group::Group;
 pub use instance::Delivery;
+pub use instance::Instance;
 pub use instance::KEY;
 pub use instance::World;
 pub use instance::revision;
