--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -54,7 +54,7 @@
 /// Events that the process keeps.
 const RING_CAPACITY: usize = 20_000;
 
-/// How long an answer of the platform's service may take to begin, or stop arriving.
+/// Maximum time without any part of an answer from the platform's service.
 const PLATFORM_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long a planned stop waits for transactions if no settings say so, in milliseconds.
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -80,8 +80,8 @@
     }
 }
 
-/// Waits until a caller is refused because the keys are unconfirmed; does not return once the reply
-/// has begun, since it confirms them soon.
+/// Waits until a caller is refused because the keys are unconfirmed; never returns once the reply
+/// has begun, since its end confirms them.
 async fn refused_before_reply(node: &Node, progress: &Progress) {
     node.key_unknown.notified().await;
     if progress.received() > 0 {
