Settings: a time limit of any length is kept instead of overflowing

Cause: Span::from_millis and Span::from_secs multiplied without a bound, so a timeout of 2^64 - 1 ms in the settings panicked in debug builds and became another timeout in release builds. Change: both return the longest span where there is none as long.

--- a/crates/clock/src/time.rs
+++ b/crates/clock/src/time.rs
@@ -49,14 +49,14 @@
         Self(micros)
     }
 
-    /// Returns a span of `millis` milliseconds.
+    /// Returns a span of `millis` milliseconds, or the longest span if there is none as long.
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
-    /// Returns a span of `secs` seconds.
+    /// Returns a span of `secs` seconds, or the longest span if there is none as long.
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000_000)
+        Self(secs.saturating_mul(1_000_000))
     }
 
     /// Returns the span in microseconds.
--- a/crates/clock/tests/clock.rs
+++ b/crates/clock/tests/clock.rs
@@ -19,3 +19,10 @@
     assert_eq!(Time::ZERO.since(Time::NEVER), Span::ZERO);
     assert_eq!(Time::NEVER + Span::from_secs(1), Time::NEVER);
 }
+
+/// Guards against settings whose time limits wrap around to a short span.
+#[test]
+fn a_span_longer_than_the_longest_is_the_longest() {
+    assert_eq!(Span::from_millis(u64::MAX), Span::from_micros(u64::MAX));
+    assert_eq!(Span::from_secs(u64::MAX), Span::from_micros(u64::MAX));
+}
