Evacuate a zone on the PostgreSQL path, with yuccactl evacuate and status

Cause: an operator could retire servers one by one through the roster, but not a zone, and nothing kept a promotion from moving the primary role into a zone that is being emptied. Change: the settings hold zones/ZONE/evacuated.

--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -101,6 +101,15 @@
             /// The group.
             required group: String
         }
+        /// Sends nothing more to the servers of an availability zone.
+        cmd evacuate {
+            /// Take the evacuation back.
+            optional --undo
+            /// The zone.
+            required zone: String
+        }
+        /// Lists the availability zones: their servers, their primaries, which are evacuated.
+        cmd status {}
         /// Lists the instances.
         cmd instances {}
         /// Lists the database servers as one instance sees them.
@@ -195,6 +204,11 @@
         YuccactlCmd::Handover(handover) => Command::Handover {
             group: handover.group,
         },
+        YuccactlCmd::Evacuate(evacuate) => Command::Evacuate {
+            zone: evacuate.zone,
+            is_undo: evacuate.undo,
+        },
+        YuccactlCmd::Status(_) => Command::Status,
         YuccactlCmd::Instances(_) => Command::Instances,
         YuccactlCmd::Endpoints(_) => Command::Endpoints,
         YuccactlCmd::Sessions(_) => Command::Sessions,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -12,6 +12,7 @@
 mod run;
 mod timeline;
 mod tree;
+mod zones;
 
 pub use client::Client;
 pub use diff::diff;
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -77,6 +77,15 @@
         /// The group.
         group: String,
     },
+    /// Send nothing more to the servers of a zone, or take that back.
+    Evacuate {
+        /// The zone.
+        zone: String,
+        /// Whether to take it back.
+        is_undo: bool,
+    },
+    /// List the zones.
+    Status,
     /// List the instances.
     Instances,
     /// List the database servers.
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -15,6 +15,7 @@
 use crate::lists;
 use crate::timeline;
 use crate::tree;
+use crate::zones;
 
 /// The exit code for wrong usage.
 const USAGE: u8 = 2;
@@ -59,6 +60,10 @@
         Command::Change { id } => changes::status(client, output, id).await,
         Command::Groups => lists::groups(client, output).await,
         Command::Handover { group } => lists::handover(client, output, group).await,
+        Command::Evacuate { zone, is_undo } => {
+            zones::evacuate(client, options, output, zone, *is_undo).await
+        }
+        Command::Status => zones::status(client, output).await,
         Command::Instances => lists::instances(client, output).await,
         Command::Endpoints => lists::endpoints(client, output).await,
         Command::Sessions => lists::sessions(client, output).await,
--- a/crates/ctl/tests/yuccactl/commands.rs
+++ b/crates/ctl/tests/yuccactl/commands.rs
@@ -226,3 +226,72 @@
     let handover = yuccactl(&fleet, &["handover", "orders"]).await;
     assert_eq!(handover.results, "group=orders term=4 order=o1\n");
 }
+
+/// A tree with one group in two zones.
+async fn fleet_of_two_zones() -> Arc<Fleet> {
+    let fleet = fleet();
+    let group = json!({
+        "endpoints": {
+            "orders-1": {"zone": "z1", "address": "127.0.0.1:1"},
+            "orders-2": {"zone": "z2", "address": "127.0.0.1:2"},
+        },
+        "slots": 4,
+        "user": "proxy",
+        "password_ref": "proxy",
+    });
+    let set = yuccactl(&fleet, &["set", "groups/orders", &group.to_string()]).await;
+    assert_eq!(set.code, 0, "{}", set.notes);
+    fleet
+}
+
+/// Guards against an evacuation that is reported but not in the settings, and against one that can't
+/// be taken back.
+#[tokio::test]
+async fn a_zone_is_evacuated_listed_and_taken_back() {
+    let fleet = fleet_of_two_zones().await;
+    let evacuate = yuccactl(&fleet, &["evacuate", "z1", "--id", "c2"]).await;
+    assert_eq!(evacuate.code, 0, "{}", evacuate.notes);
+    let zones = yuccactl(&fleet, &["tree", "get", "zones"]).await;
+    assert_eq!(
+        zones.results.parse::<Value>().unwrap(),
+        json!({"z1": {"evacuated": true}})
+    );
+    let status = yuccactl(&fleet, &["status", "--json"]).await;
+    let rows: Value = status.results.parse().unwrap();
+    assert_eq!(rows[0]["zone"], "z1");
+    assert_eq!(rows[0]["is_evacuated"], true);
+    assert_eq!(rows[1]["is_evacuated"], false);
+    let undo = yuccactl(&fleet, &["evacuate", "--undo", "z1"]).await;
+    assert_eq!(undo.code, 0, "{}", undo.notes);
+    let gone = yuccactl(&fleet, &["tree", "get", "zones"]).await;
+    assert!(gone.notes.contains("no such part"), "{}", gone.notes);
+}
+
+/// Guards against a second evacuation that fails, or makes another revision for nothing.
+#[test_case(&["evacuate", "z1"] ; "evacuated twice")]
+#[test_case(&["evacuate", "--undo", "z2"] ; "taken back without an evacuation")]
+#[tokio::test]
+async fn an_evacuation_that_changes_nothing_is_no_error(arguments: &[&str]) {
+    let fleet = fleet_of_two_zones().await;
+    yuccactl(&fleet, &["evacuate", "z1"]).await;
+    let revision = fleet.revision().await;
+    let again = yuccactl(&fleet, arguments).await;
+    assert_eq!(again.code, 0, "{}", again.notes);
+    assert!(again.notes.contains("changed=false"), "{}", again.notes);
+    assert_eq!(fleet.revision().await, revision);
+}
+
+/// Guards against a misspelled zone that is accepted and evacuates nothing.
+#[tokio::test]
+async fn an_unknown_zone_is_refused() {
+    let fleet = fleet_of_two_zones().await;
+    let revision = fleet.revision().await;
+    let wrong = yuccactl(&fleet, &["evacuate", "z3"]).await;
+    assert_eq!(wrong.code, 2);
+    assert!(
+        wrong.notes.contains("known zones: z1, z2"),
+        "{}",
+        wrong.notes
+    );
+    assert_eq!(fleet.revision().await, revision);
+}
--- a/crates/daemon/src/group/hub.rs
+++ b/crates/daemon/src/group/hub.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use clock::Span;
+use clock::Time;
 use endpoint::Pool;
 use endpoint::Target;
 use group::Member;
@@ -14,12 +15,18 @@
 use settings::Tree;
 use store::Machine;
 use store::Status;
+use timeline::Kind;
+use timeline::event;
 
 use super::Handle;
 use super::driver;
 use crate::node::Node;
 use crate::node::lock;
 
+/// How long the primary of an evacuated zone still gets statements while its role is handed over; a
+/// hand-over takes less than a second, and an evacuation is in force within five.
+const EVACUATION_GRACE: Span = Span::from_secs(4);
+
 /// Opens, updates and closes groups after the settings or the members changed.
 pub fn apply(node: &Arc<Node>, tree: &Tree) {
     let current = lock(&node.groups).clone();
@@ -46,6 +53,10 @@
         }
     }
     *lock(&node.groups) = next;
+    apply_evacuations(node, tree);
+    for handle in node.all_groups() {
+        retire(node, &handle);
+    }
 }
 
 /// Divides a group's connections anew, for instance after its primary changed.
@@ -190,29 +201,90 @@
 
 /// Tells the groups which endpoints are about to leave, and orders hand-overs from them.
 pub fn apply_roster(node: &Arc<Node>, machines: &[Machine]) {
-    let leaving: BTreeSet<Arc<str>> = machines
+    let leaving = machines
         .iter()
         .filter(|machine| &*machine.role == "endpoint" && machine.status == Status::Leaving)
         .map(|machine| Arc::clone(&machine.name))
         .collect();
+    *lock(&node.leaving) = leaving;
     for handle in node.all_groups() {
-        let own: BTreeSet<Arc<str>> = handle
-            .members
-            .iter()
+        retire(node, &handle);
+    }
+}
+
+/// Tells a group which of its endpoints are leaving or evacuated, and orders a hand-over from one
+/// that is its primary.
+fn retire(node: &Arc<Node>, handle: &Arc<Handle>) {
+    let members = handle.members.iter();
+    let leaving: BTreeSet<Arc<str>> = {
+        let all = lock(&node.leaving);
+        members
+            .clone()
             .map(|member| Arc::clone(&member.endpoint))
-            .filter(|name| leaving.contains(name))
-            .collect();
-        let is_poller = {
-            let key = group::Row::key(&handle.name);
-            lock(&node.members).is_poller(node.now(), &key)
-        };
-        let primary = handle.view(|view, now| view.primary(now));
-        handle.input(|view, _| view.set_leaving(own.clone()));
+            .filter(|name| all.contains(name))
+            .collect()
+    };
+    let evacuated: BTreeMap<Arc<str>, Time> = {
+        let zones = lock(&node.evacuated);
+        let deadline = |member: &Member| zones.as_ref()?.get(&member.zone).copied();
+        members
+            .filter_map(|member| Some((Arc::clone(&member.endpoint), deadline(member)?)))
+            .collect()
+    };
+    let is_poller = {
+        let key = group::Row::key(&handle.name);
+        lock(&node.members).is_poller(node.now(), &key)
+    };
+    let primary = handle.view(|view, now| view.primary(now));
+    let why = match &primary {
+        Some((name, _)) if leaving.contains(name) => Some("endpoint is leaving"),
+        Some((name, _)) if evacuated.contains_key(name) => Some("zone is evacuated"),
+        _ => None,
+    };
+    handle.input(|view, now| {
+        view.set_leaving(leaving);
+        view.set_evacuated(evacuated);
         if let Some((primary, _)) = primary
+            && let Some(why) = why
             && is_poller
-            && own.contains(&primary)
         {
-            handle.input(|view, now| view.request_handover(now, "endpoint is leaving", &primary));
+            view.request_handover(now, why, &primary);
         }
+    });
+}
+
+/// Takes over which zones are evacuated and records the changes.
+///
+/// A zone that was evacuated before this process started gets no statements at once.
+fn apply_evacuations(node: &Arc<Node>, tree: &Tree) {
+    let now = node.now();
+    let revision = lock(&node.holder).revision();
+    let mut evacuated = lock(&node.evacuated);
+    let is_start = evacuated.is_none();
+    let before = evacuated.take().unwrap_or_default();
+    let zones = tree.zones.iter().filter(|(_, zone)| zone.evacuated);
+    let next: BTreeMap<Arc<str>, Time> = zones
+        .map(|(name, _)| {
+            let deadline = match before.get(name) {
+                Some(deadline) => *deadline,
+                None if is_start => now,
+                None => now + EVACUATION_GRACE,
+            };
+            (Arc::clone(name), deadline)
+        })
+        .collect();
+    let record = |what: &'static str, zone: &Arc<str>| {
+        log::info!("event={what} zone={zone} revision={revision}");
+        let changed = event(Kind::Settings, what)
+            .with("zone", zone)
+            .with("revision", revision);
+        node.ring.record(changed);
+    };
+    for zone in next.keys().filter(|zone| !before.contains_key(*zone)) {
+        record("zone-evacuated", zone);
+    }
+    for zone in before.keys().filter(|zone| !next.contains_key(*zone)) {
+        record("evacuation-ended", zone);
     }
+    *evacuated = Some(next);
 }
--- a/crates/daemon/src/metrics/meter.rs
+++ b/crates/daemon/src/metrics/meter.rs
@@ -41,6 +41,13 @@
     pub group: String,
 }
 
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Zone {
+    /// The zone's name.
+    pub zone: String,
+}
+
 /// The counters and gauges of the process.
 pub struct Meter {
     registry: Mutex<Registry>,
@@ -51,6 +58,7 @@
     revision: Gauge,
     terms: Family<Group, Gauge>,
     writable: Family<Group, Gauge>,
+    evacuated: Family<Zone, Gauge>,
     slices: Gauge,
     peers: Gauge,
     table_age: Gauge<f64, AtomicU64>,
@@ -68,6 +76,7 @@
             revision: Gauge::default(),
             terms: Family::default(),
             writable: Family::default(),
+            evacuated: Family::default(),
             slices: Gauge::default(),
             peers: Gauge::default(),
             table_age: Gauge::default(),
@@ -138,6 +147,11 @@
             "Whether writes can be acknowledged, 0 or 1",
             self.writable.clone(),
         );
+        registry.register(
+            "zone_evacuated",
+            "Whether nothing may be sent to a zone's servers, 0 or 1",
+            self.evacuated.clone(),
+        );
         registry.register(
             "rate_slices",
             "Slices of all rates that this instance may use",
@@ -165,6 +179,16 @@
             std::time::Duration::from(now.since(at)).as_secs_f64()
         });
         self.table_age.set(age);
+        self.evacuated.clear();
+        if let Some(held) = node.held() {
+            for (name, zone) in &held.tree.zones {
+                let label = Zone {
+                    zone: name.to_string(),
+                };
+                let gauge = self.evacuated.get_or_create(&label);
+                gauge.set(i64::from(zone.evacuated));
+            }
+        }
         for handle in node.all_groups() {
             let label = Group {
                 group: handle.name.to_string(),
--- a/crates/daemon/src/node/node.rs
+++ b/crates/daemon/src/node/node.rs
@@ -1,6 +1,7 @@
 //! The state of one process.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -80,6 +81,11 @@
     pub tokens_added: Notify,
     /// The groups of the settings in force.
     pub groups: Mutex<BTreeMap<Arc<str>, Arc<Handle>>>,
+    /// The endpoints that the roster last listed as leaving.
+    pub leaving: Mutex<BTreeSet<Arc<str>>>,
+    /// The evacuated zones of the settings in force, with the times from which their primaries get
+    /// nothing; `None` until settings were applied.
+    pub evacuated: Mutex<Option<BTreeMap<Arc<str>, Time>>>,
     /// The metrics.
     pub meter: Meter,
     /// The open sessions.
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -191,6 +191,8 @@
         limiter: Mutex::new(limiter),
         limiter_wake: Notify::new(),
         tokens_added: Notify::new(),
+        leaving: Mutex::default(),
+        evacuated: Mutex::default(),
         groups: Mutex::new(BTreeMap::new()),
         meter: Meter::open(),
         sessions: Registry::default(),
--- a/crates/daemon/tests/fleet/leaving.rs
+++ b/crates/daemon/tests/fleet/leaving.rs
@@ -1,4 +1,4 @@
-//! Endpoints that the roster lists as leaving.
+//! Endpoints that the roster lists as leaving, and zones that the settings evacuate.
 
 use std::sync::Arc;
 
@@ -76,3 +76,49 @@
     }
     assert_eq!(reads(&fleet, 0), before, "it gets no new work");
 }
+
+/// Guards against an evacuated zone whose primary keeps its role, and whose servers go on to answer
+/// statements.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_evacuated_zone_gets_no_statements_until_it_is_taken_back() {
+    let fleet = Fleet::open(62, 2).await;
+    fleet.create_table().await;
+    let control = fleet.control(0);
+    let first = control.groups().await.unwrap()[0].primary.clone().unwrap();
+    let endpoints = control.endpoints().await.unwrap();
+    let place = |name: &str| {
+        let index = endpoints
+            .iter()
+            .position(|endpoint| &*endpoint.name == name);
+        index.unwrap()
+    };
+    let zone = Arc::clone(&endpoints[place(&first)].zone);
+    let path = format!("zones/{zone}");
+    let evacuated = serde_json::json!({"evacuated": true});
+    fleet.change(0, "evacuate", &path, evacuated).await;
+    until("the hand-over", || async {
+        let groups = control.groups().await.unwrap();
+        groups[0].primary.as_ref() != Some(&first) && groups[0].is_writable
+    })
+    .await;
+    let client = fleet.client(1).await;
+    until("the settings at the other instance", || async {
+        let groups = fleet.control(1).groups().await.unwrap();
+        groups[0].primary.as_ref() != Some(&first) && groups[0].is_writable
+    })
+    .await;
+    let before = reads(&fleet, place(&first));
+    run(&client, "INSERT INTO entries VALUES (1, 'x')").await;
+    for _ in 0..50 {
+        run(&client, "SELECT id FROM entries").await;
+    }
+    assert_eq!(reads(&fleet, place(&first)), before);
+    fleet
+        .change(0, "undo", &path, serde_json::Value::Null)
+        .await;
+    until("reads at the zone's server", || async {
+        run(&client, "SELECT id FROM entries").await;
+        reads(&fleet, place(&first)) > before
+    })
+    .await;
+}
--- a/crates/group/src/view/choice.rs
+++ b/crates/group/src/view/choice.rs
@@ -57,10 +57,16 @@
         if highest.term >= row.term {
             return Choice::Overtaken;
         }
-        let best = electors
+        let mut candidates = electors
             .iter()
             .filter(|(_, status)| status.received == highest && status.role == Role::Replica)
-            .max_by_key(|(name, status)| (!self.leaving.contains(*name), status.applied));
+            .filter(|(name, _)| !self.evacuated.contains_key(*name))
+            .peekable();
+        if candidates.peek().is_none() && !self.evacuated.is_empty() {
+            return Choice::Wait("no-replica-outside-evacuated-zones-holds-the-highest-position");
+        }
+        let best =
+            candidates.max_by_key(|(name, status)| (!self.leaving.contains(*name), status.applied));
         let Some((name, _)) = best else {
             return Choice::Wait("no-replica-holds-the-highest-position");
         };
--- a/crates/group/src/view/input.rs
+++ b/crates/group/src/view/input.rs
@@ -1,5 +1,6 @@
 //! The inputs of a view.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -168,6 +169,14 @@
         self.leaving = endpoints;
     }
 
+    /// Sets the endpoints of evacuated zones, with their deadlines.
+    ///
+    /// A primary among them gets statements until its deadline, so that its role can be handed
+    /// over before these are refused. A replica gets none at once.
+    pub fn set_evacuated(&mut self, endpoints: BTreeMap<Arc<str>, Time>) {
+        self.evacuated = endpoints;
+    }
+
     /// Sets the durations after a change of the settings.
     pub fn set_policy(&mut self, policy: Policy) {
         assert!(policy.proof_lease > Span::ZERO, "proofs need a lease");
--- a/crates/group/src/view/mod.rs
+++ b/crates/group/src/view/mod.rs
@@ -58,6 +58,9 @@
     /// When this process started or resumed; server silence counts from here at the earliest.
     running_since: Time,
     leaving: BTreeSet<Arc<str>>,
+    /// The endpoints of evacuated zones, with the time from which a primary among them gets
+    /// nothing; none of them is promoted.
+    evacuated: BTreeMap<Arc<str>, Time>,
     handover: Option<Handover>,
     votes: Option<(Time, Votes)>,
     /// The number of instances that promote before this one when several may do so.
@@ -133,6 +136,7 @@
             last_run: now,
             running_since: now,
             leaving: BTreeSet::new(),
+            evacuated: BTreeMap::new(),
             handover: None,
             votes: None,
             rank: 0,
--- a/crates/group/src/view/order.rs
+++ b/crates/group/src/view/order.rs
@@ -119,6 +119,7 @@
         }
         let close = self.servers.iter().any(|(name, server)| {
             *name != row.primary
+                && !self.evacuated.contains_key(name)
                 && server.is_answering(now, &self.policy)
                 && server.fresh_at.is_some_and(|fresh_at| {
                     now.since(fresh_at) <= self.policy.handover_max_staleness
--- a/crates/group/src/view/query.rs
+++ b/crates/group/src/view/query.rs
@@ -43,7 +43,7 @@
     pub fn may_send_write(&self, now: Time) -> Result<u64, Span> {
         let soon = times(self.policy.poll_interval, 2);
         let (primary, term) = self.primary(now).ok_or(soon)?;
-        if self.is_being_replaced(now) {
+        if self.is_being_replaced(now) || self.is_evacuated(now, &primary) {
             return Err(soon);
         }
         let Some(server) = self.servers.get(&primary) else {
@@ -75,7 +75,14 @@
         dead.then_some(false)
     }
 
-    /// Returns the replicas that respond and are not leaving.
+    /// Returns whether a server gets no statements any more since its zone is evacuated.
+    pub fn is_evacuated(&self, now: Time, endpoint: &str) -> bool {
+        self.evacuated
+            .get(endpoint)
+            .is_some_and(|deadline| now >= *deadline)
+    }
+
+    /// Returns the replicas that respond and are neither leaving nor evacuated.
     ///
     /// A replaced primary that still reports to be one is excluded.
     pub fn replicas(&self, now: Time) -> Vec<Source> {
@@ -84,6 +91,7 @@
             .iter()
             .filter(|(name, _)| Some(*name) != primary.as_ref())
             .filter(|(name, _)| !self.leaving.contains(*name))
+            .filter(|(name, _)| !self.evacuated.contains_key(*name))
             .filter(|(_, server)| server.is_answering(now, &self.policy) && server.is_replica())
             .filter_map(|(name, server)| source(name, server))
             .collect()
@@ -95,7 +103,8 @@
     pub fn primary_source(&self, now: Time) -> Option<Source> {
         let (name, term) = self.primary(now)?;
         let server = self.servers.get(&name)?;
-        if !server.is_answering(now, &self.policy) || !server.is_primary_of(term) {
+        let is_usable = server.is_answering(now, &self.policy) && server.is_primary_of(term);
+        if !is_usable || self.is_evacuated(now, &name) {
             return None;
         }
         let mut source = source(&name, server)?;
--- a/crates/group/tests/promotion.rs
+++ b/crates/group/tests/promotion.rs
@@ -306,3 +306,60 @@
     assert_eq!(Row::parse("orders", &row.to_json()).ok(), Some(row));
     assert!(Row::parse("orders", "{}").is_err());
 }
+
+/// Evacuates endpoints from `deadline` on.
+fn evacuate(harness: &mut Harness, endpoints: &[&str], deadline: clock::Time) {
+    let evacuated = endpoints.iter().map(|name| (Arc::from(*name), deadline));
+    harness.view.set_evacuated(evacuated.collect());
+}
+
+/// Guards against a primary role that moves from one evacuated zone to another.
+#[test]
+fn a_server_of_an_evacuated_zone_is_not_promoted() {
+    let mut harness = Harness::open();
+    let deadline = harness.now;
+    evacuate(&mut harness, &["e1"], deadline);
+    harness.order();
+    harness.run(ms(600));
+    harness.servers = vec![("e1", Role::Replica, 1, 10), ("e2", Role::Replica, 1, 10)];
+    let actions = harness.run(ms(100));
+    let row = harness.commit(&actions).expect("a candidate is written");
+    assert_eq!(row.candidate.as_deref(), Some("e2"));
+}
+
+/// Guards against an acknowledged write that is lost since the only server that holds it is in an
+/// evacuated zone.
+#[test]
+fn a_promotion_waits_while_only_an_evacuated_server_holds_the_highest_position() {
+    let mut harness = Harness::open();
+    let deadline = harness.now;
+    evacuate(&mut harness, &["e1"], deadline);
+    harness.order();
+    harness.run(ms(600));
+    harness.servers = vec![("e1", Role::Replica, 1, 12), ("e2", Role::Replica, 1, 10)];
+    assert!(commit_of_all(&harness.run(ms(700))).is_none());
+    harness.servers[1] = ("e2", Role::Replica, 1, 12);
+    let actions = harness.run(ms(50));
+    let row = harness.commit(&actions).expect("a candidate is written");
+    assert_eq!(row.candidate.as_deref(), Some("e2"));
+}
+
+/// Guards against statements that reach an evacuated zone since no other server can take over, and
+/// against a primary that stays unused after the evacuation was taken back.
+#[test]
+fn an_evacuated_primary_gets_statements_until_its_deadline_only() {
+    let mut harness = Harness::open();
+    let deadline = harness.now + ms(200);
+    evacuate(&mut harness, &["e0", "e1", "e2"], deadline);
+    harness.run(ms(100));
+    assert!(harness.view.may_send_write(harness.now).is_ok());
+    assert!(harness.view.primary_source(harness.now).is_some());
+    assert!(harness.view.replicas(harness.now).is_empty());
+    harness.run(ms(150));
+    assert!(harness.view.may_send_write(harness.now).is_err());
+    assert!(harness.view.primary_source(harness.now).is_none());
+    evacuate(&mut harness, &[], deadline);
+    harness.run(ms(20));
+    assert!(harness.view.may_send_write(harness.now).is_ok());
+    assert_eq!(harness.view.replicas(harness.now).len(), 2);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -59,6 +59,7 @@
 pub use tree::Service;
 pub use tree::Tree;
 pub use tree::Verifier;
+pub use tree::Zone;
 pub use values::CutOff;
 pub use values::Priority;
 pub use values::Values;
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -168,6 +168,8 @@
     required("password_ref", Shape::Text),
 ];
 
+const ZONE: &[Field] = &[required("evacuated", Shape::Flag)];
+
 // CAST: SCHEMA is a small constant, and `From` is not const.
 const TREE: &[Field] = &[
     required(
@@ -181,6 +183,7 @@
     optional("services", Shape::Map(SERVICE)),
     optional("accounts", Shape::Map(ACCOUNT)),
     optional("groups", Shape::Map(GROUP)),
+    optional("zones", Shape::Map(ZONE)),
 ];
 
 /// Lists what is wrong with a tree given as JSON, apart from its references.
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -31,6 +31,18 @@
     pub accounts: BTreeMap<Arc<str>, Account>,
     /// The database groups, by name.
     pub groups: BTreeMap<Arc<str>, Group>,
+    /// The availability zones that differ from the default, by name; a tree without any has the
+    /// same text as before zones were added, so its hash is the same in all versions.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub zones: BTreeMap<Arc<str>, Zone>,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Zone {
+    /// Whether nothing may be sent to the zone's servers.
+    pub evacuated: bool,
 }
 
 /// A service, which callers name in `service/route`.
@@ -117,6 +129,7 @@
             services: BTreeMap::new(),
             accounts: BTreeMap::new(),
             groups: BTreeMap::new(),
+            zones: BTreeMap::new(),
         }
     }
 }
@@ -213,6 +226,11 @@
         Some(effective)
     }
 
+    /// Returns whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(|zone| zone.evacuated)
+    }
+
     /// Returns the values in force for the fleet as a whole.
     pub fn resolve_root(&self) -> Effective {
         let mut effective = Effective::default();
