Follow evacuations of zones

Cause: an operator can't take a zone out of use; the instances only know servers that drain.

Change: the feed of the table op also returns the rows evacuate/ZONE if bounds.evacuate-ms is set. Servers in such a zone get no new statement or transaction, their open transactions end before the bound, and a primary there is replaced (reason evacuated) by a server outside all evacuated zones. Confirmations between instances carry a number that covers the evacuations; it is the settings' revision if there are none. Rows that the store lost when it returned from an older copy are written again.

Tests: relay evacuations (decisions), relay evacuation (complete instances: restart, lost row, two zones, unknown zone, end during a replacement, no contact, all zones), relay survey and detector, platform rows (markers) and settings.

--- /dev/null
+++ b/crates/relay/src/evacuation/mod.rs
@@ -0,0 +1,7 @@
+//! Evacuation of availability zones.
+
+mod evacuations;
+mod transition;
+
+pub use evacuations::Evacuations;
+pub use transition::Transition;
--- a/crates/relay/src/failover/check.rs
+++ b/crates/relay/src/failover/check.rs
@@ -20,6 +20,10 @@
     if is_cut_off || is_leaving || group.servers().is_empty() {
         return;
     }
+    if group.is_evacuated() {
+        // No server may be promoted.
+        return;
+    }
     let observation = observe(now, group);
     let reason = match lock(&group.detector).step(now, &observation) {
         Some(reason) => reason,
@@ -52,6 +56,7 @@
     Observation {
         is_known: true,
         is_leaving: leader.is_draining(),
+        is_evacuated: leader.is_evacuated(),
         proven_at,
         replied_at: health.replied_at,
         is_stuck: health.is_stuck(now),
--- a/crates/relay/src/failover/detector.rs
+++ b/crates/relay/src/failover/detector.rs
@@ -20,6 +20,8 @@
 pub enum Reason {
     /// The primary is about to leave.
     Leaving,
+    /// The primary's zone is evacuated.
+    Evacuated,
     /// The primary does not answer.
     Silent,
     /// The primary answers, but commits to it don't complete.
@@ -37,6 +39,8 @@
     pub is_known: bool,
     /// Whether the leader is about to leave.
     pub is_leaving: bool,
+    /// Whether its zone is evacuated.
+    pub is_evacuated: bool,
     /// When it last proved its leadership.
     pub proven_at: Time,
     /// When it last answered any request.
@@ -54,6 +58,13 @@
     next_attempt: Time,
 }
 
+impl Reason {
+    /// Returns whether the primary still answers and is asked to step down.
+    pub fn is_planned(self) -> bool {
+        matches!(self, Self::Leaving | Self::Evacuated)
+    }
+}
+
 impl Detector {
     /// Evaluates an observation; returns the reason if the primary must be replaced now.
     pub fn step(&mut self, now: Time, observation: &Observation) -> Option<Reason> {
@@ -79,7 +90,12 @@
         }
         let is_silent = now >= observation.proven_at + PROOF_TIMEOUT
             && now >= observation.replied_at + ANSWER_TIMEOUT;
-        is_silent.then_some(Reason::Silent)
+        if is_silent {
+            // The failure may be why the zone is evacuated. A planned replacement would wait for the
+            // primary's demotion.
+            return Some(Reason::Silent);
+        }
+        observation.is_evacuated.then_some(Reason::Evacuated)
     }
 
     /// Delays the next attempt after one has ended.
--- a/crates/relay/src/failover/opinion.rs
+++ b/crates/relay/src/failover/opinion.rs
@@ -54,7 +54,7 @@
             // This instance is a prober too.
             Reason::Silent => self.confirming * 2 > self.probers + 1,
             Reason::Stuck => self.has_recent_commit,
-            Reason::Leaving | Reason::Missing | Reason::Unfinished => false,
+            Reason::Leaving | Reason::Evacuated | Reason::Missing | Reason::Unfinished => false,
         };
         is_confirmed || self.newer > 0
     }
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -47,6 +47,9 @@
 const MEMBERSHIP_LEARNED_AFTER: Span = Span::from_secs(30);
 /// How often the lease is renewed, so that no other instance presumes the holder dead.
 const LEASE_RENEWAL_PERIOD: Span = Span::from_millis(1_000);
+/// Attempts to demote a primary in an evacuated zone before it counts as silent; one lost reply is
+/// no reason to pause the replicas.
+const DEMOTION_ATTEMPTS_MAX: u32 = 2;
 /// A waiting failover is logged once per this many attempts.
 const ATTEMPTS_PER_LOG_LINE: u32 = 8;
 
@@ -287,6 +290,14 @@
                 retirement.request(self.node, self.group).await;
             }
             self.collect(&mut survey).await;
+            if self.reason == Reason::Evacuated
+                && attempt >= DEMOTION_ATTEMPTS_MAX
+                && survey.demoted.is_none()
+            {
+                // The zone may have failed; then only paused replicas prove what was acknowledged.
+                log::info!("event=primary-not-demoted group={}", self.group.name);
+                self.reason = Reason::Silent;
+            }
             if !self.is_unchecked()
                 && let Some(leader) = self.other_leader()
             {
@@ -388,11 +399,16 @@
             .filter(|server| server.is_draining())
             .map(|server| Arc::clone(&server.name))
             .collect();
+        survey.evacuated = servers
+            .iter()
+            .filter(|server| server.is_evacuated())
+            .map(|server| Arc::clone(&server.name))
+            .collect();
         let term = self.term.max(survey.acknowledged.term) + 1;
         // A server paused by an earlier attempt may have restarted since.
         survey.paused.clear();
         survey.receiving.clear();
-        let is_planned = self.reason == Reason::Leaving;
+        let is_planned = self.reason.is_planned();
         let this = &*self;
         let requests = servers.iter().map(|server| async move {
             let is_old = this.old.as_ref().is_some_and(|old| old.name == server.name);
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -23,6 +23,8 @@
     pub acknowledged: Position,
     /// Servers that are about to leave; one is chosen only if no other server qualifies.
     pub leaving: BTreeSet<Arc<str>>,
+    /// Servers in evacuated zones; none of them is chosen.
+    pub evacuated: BTreeSet<Arc<str>>,
 }
 
 /// What to do next in a failover.
@@ -71,7 +73,7 @@
         }
         self.best_candidate(&stopped, longest).map_or(
             Choice::Wait {
-                why: "no replica answers",
+                why: "no server outside the evacuated zones has the whole log",
             },
             Choice::Promote,
         )
@@ -85,14 +87,15 @@
         self.best_candidate(&logs, *end)
     }
 
-    /// Returns a server whose log reaches `end`, preferring one that is not leaving.
+    /// Returns a server whose log reaches `end`, preferring one that is not leaving, outside the
+    /// evacuated zones.
     fn best_candidate(
         &self,
         logs: &BTreeMap<Arc<str>, Position>,
         end: Position,
     ) -> Option<Arc<str>> {
         logs.iter()
-            .filter(|(_, position)| **position >= end)
+            .filter(|(name, position)| **position >= end && !self.evacuated.contains(*name))
             .min_by_key(|(name, _)| self.leaving.contains(*name))
             .map(|(name, _)| Arc::clone(name))
     }
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -15,6 +15,7 @@
 use endpoint::Role;
 use tokio::sync::Notify;
 
+use crate::evacuation::Evacuations;
 use crate::external::Connector;
 use crate::external::Target;
 use crate::failover::Departed;
@@ -91,6 +92,7 @@
     pub is_in_failover: AtomicBool,
     connector: Arc<dyn Connector>,
     clock: Arc<dyn Clock>,
+    evacuations: Arc<Mutex<Evacuations>>,
 }
 
 impl Group {
@@ -101,6 +103,7 @@
         fencing: Fencing,
         connector: Arc<dyn Connector>,
         clock: Arc<dyn Clock>,
+        evacuations: Arc<Mutex<Evacuations>>,
     ) -> Arc<Self> {
         Arc::new(Self {
             name: Arc::clone(name),
@@ -117,6 +120,7 @@
             is_in_failover: AtomicBool::new(false),
             connector,
             clock,
+            evacuations,
         })
     }
 
@@ -130,6 +134,15 @@
         lock(&self.servers).get(name).cloned()
     }
 
+    /// Returns whether all servers, of which there is at least one, are in evacuated zones.
+    pub fn is_evacuated(&self) -> bool {
+        if lock(&self.evacuations).count() == 0 {
+            return false;
+        }
+        let servers = self.servers();
+        !servers.is_empty() && servers.iter().all(|server| server.is_evacuated())
+    }
+
     /// Returns the leader.
     pub fn leader(&self) -> Option<Arc<Server>> {
         let name = lock(&self.leadership).server().cloned()?;
@@ -185,6 +198,7 @@
             entry: Mutex::new(entry),
             health,
             pool,
+            evacuations: Arc::clone(&self.evacuations),
         };
         lock(&self.servers).insert(Arc::clone(name), Arc::new(server));
         self.changed.notify_waiters();
@@ -304,6 +318,7 @@
         self.servers()
             .into_iter()
             .filter(|server| !tried.contains(&server.name) && !server.is_draining())
+            .filter(|server| !server.is_evacuated())
             .filter(|server| lock(&server.health).can_serve(now, floor))
             .min_by_key(|server| {
                 let is_leader = leader.as_ref() == Some(&server.name);
--- a/crates/relay/src/group/server.rs
+++ b/crates/relay/src/group/server.rs
@@ -3,7 +3,11 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use clock::Time;
+
+use crate::evacuation::Evacuations;
 use crate::group::Health;
+use crate::node::lock;
 use crate::pool::Pool;
 use crate::settings;
 
@@ -17,16 +21,29 @@
     pub health: Arc<Mutex<Health>>,
     /// The connections to it.
     pub pool: Arc<Pool>,
+    /// The evacuated zones.
+    pub(super) evacuations: Arc<Mutex<Evacuations>>,
 }
 
 impl Server {
     /// Returns whether the server is about to leave.
     pub fn is_draining(&self) -> bool {
-        crate::node::lock(&self.entry).is_draining
+        lock(&self.entry).is_draining
+    }
+
+    /// Returns whether its zone is evacuated, so that it gets no new statement or transaction.
+    pub fn is_evacuated(&self) -> bool {
+        lock(&self.evacuations).covers(&self.zone())
+    }
+
+    /// Returns when open transactions at this server are rolled back; `None` if its zone isn't
+    /// evacuated.
+    pub fn transaction_deadline(&self) -> Option<Time> {
+        lock(&self.evacuations).deadline(&self.zone())
     }
 
     /// Returns its availability zone.
     pub fn zone(&self) -> Arc<str> {
-        Arc::clone(&crate::node::lock(&self.entry).zone)
+        Arc::clone(&lock(&self.entry).zone)
     }
 }
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -39,6 +39,10 @@
     pub leader_questions: Counter,
     /// Answered statements, including failed ones.
     pub statements: Counter,
+    /// Evacuated zones.
+    pub zones_evacuated: Gauge,
+    /// Statements sent to servers of evacuated zones.
+    pub evacuated_statements: Counter,
 }
 
 impl Metrics {
@@ -52,6 +56,8 @@
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
             statements: Counter::default(),
+            zones_evacuated: Gauge::default(),
+            evacuated_statements: Counter::default(),
         };
         let mut registry = lock(&metrics.registry);
         registry.register(
@@ -75,6 +81,16 @@
             "Questions to servers whether they lead",
             metrics.leader_questions.clone(),
         );
+        registry.register(
+            "zones_evacuated",
+            "Evacuated zones",
+            metrics.zones_evacuated.clone(),
+        );
+        registry.register(
+            "evacuated_statements",
+            "Statements sent to servers of evacuated zones",
+            metrics.evacuated_statements.clone(),
+        );
         drop(registry);
         metrics
     }
--- a/crates/relay/src/node/dependencies.rs
+++ b/crates/relay/src/node/dependencies.rs
@@ -8,7 +8,7 @@
 
 use crate::external::Connector;
 use crate::external::Promoter;
-use crate::settings::Revision;
+use crate::settings::Directive;
 use crate::settings::Server;
 
 /// The external services of an instance.
@@ -20,8 +20,8 @@
     pub promoter: Arc<dyn Promoter>,
     /// The table that the instances share.
     pub table: Arc<dyn Table>,
-    /// The revisions of the settings.
-    pub revisions: Arc<dyn Watch<Revision>>,
+    /// The operator's directives: the settings and the evacuations.
+    pub directives: Arc<dyn Watch<Directive>>,
     /// The entries in which servers describe themselves.
     pub servers: Arc<dyn Watch<Server>>,
     /// The clock that measures leases and staleness.
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -25,6 +25,8 @@
 use tokio::sync::Notify;
 use tokio::sync::OnceCell;
 
+use crate::evacuation::Evacuations;
+use crate::evacuation::Transition;
 use crate::failover::Leases;
 use crate::failover::Rows;
 use crate::group::Group;
@@ -72,6 +74,10 @@
     /// When the instance started.
     pub started: Time,
     revision: Mutex<Arc<Revision>>,
+    /// The evacuated zones; the groups' servers refer to them.
+    pub evacuations: Arc<Mutex<Evacuations>>,
+    /// Notified when an evacuation begins or ends.
+    pub evacuations_changed: Notify,
     /// The valid keys; the keyring's revisions are those of the settings.
     pub keyring: Mutex<Keyring<()>>,
     /// The rate limits of the accounts.
@@ -145,6 +151,8 @@
             dependencies,
             incarnation,
             revision: Mutex::default(),
+            evacuations: Arc::default(),
+            evacuations_changed: Notify::new(),
             keyring: Mutex::new(Keyring::open(keys)),
             limiter: Mutex::new(limiter),
             limiter_due: Notify::new(),
@@ -287,6 +295,36 @@
         self.applied.notify_waiters();
     }
 
+    /// Returns the number by which instances confirm the settings and evacuations to each other.
+    pub fn confirmation_number(&self) -> u64 {
+        lock(&self.evacuations).number(self.revision().number)
+    }
+
+    /// Applies changes of the evacuations, which the reply with the store's `version` brought.
+    pub fn on_evacuations(&self, version: u64, transitions: &[Transition]) {
+        if transitions.is_empty() {
+            return;
+        }
+        for Transition { zone, is_evacuated } in transitions {
+            let event = match is_evacuated {
+                true => "zone-evacuated",
+                false => "evacuation-ended",
+            };
+            log::info!(
+                "event={event} zone={zone} version={} era={}",
+                store::version::number(version),
+                store::version::era(version)
+            );
+        }
+        let count = lock(&self.evacuations).count();
+        // CAST: a deployment has few zones.
+        self.metrics.zones_evacuated.set(count as i64);
+        for group in self.groups() {
+            group.changed.notify_waiters();
+        }
+        self.evacuations_changed.notify_waiters();
+    }
+
     /// Waits until the first settings are applied.
     pub async fn wait_for_settings(&self) {
         loop {
@@ -462,6 +500,7 @@
                 self.options.fencing,
                 Arc::clone(&self.dependencies.connector),
                 Arc::clone(&self.dependencies.clock),
+                Arc::clone(&self.evacuations),
             );
             lock(&self.groups).insert(Arc::clone(name), Arc::clone(&group));
             let entries = lock(&self.entries).clone();
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -35,6 +35,9 @@
     pub quota: Option<Quota>,
     /// Who keeps a replaced primary from acting.
     pub fencing: Fencing,
+    /// How long after the operator's order requests may still reach a server in an evacuated zone;
+    /// `None` if evacuations are not followed.
+    pub evacuation_bound: Option<Span>,
     /// The time limit of a graceful stop.
     pub stop_timeout: Span,
     /// The retry delay given to a caller whose statement did not run.
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -53,6 +53,7 @@
 impl Job<'_> {
     /// Builds the request for a connection, with the server's name for a prepared statement.
     pub fn request(&self, connection: &Connection, floor: Option<Position>) -> Request {
+        self.count_evacuated(connection.server());
         let statement = match (self.statement, self.definition) {
             (Statement::Execute { arguments, .. }, Some(definition)) => Statement::Execute {
                 name: connection
@@ -69,6 +70,15 @@
         }
     }
 
+    /// Counts a statement that is about to be sent to a server of an evacuated zone, which only those
+    /// of open transactions are.
+    fn count_evacuated(&self, server: &str) {
+        let server = self.group.server(server);
+        if server.is_some_and(|server| server.is_evacuated()) {
+            self.node.metrics.evacuated_statements.inc();
+        }
+    }
+
     /// Acquires a connection to a server, queueing if necessary.
     pub async fn acquire(&self, server: &Server) -> Result<Connection, Error> {
         let priority = self.route.priority;
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -31,6 +31,9 @@
 /// The reason given to a caller whose statement is refused under overload.
 pub const OVERLOADED: &str = "more statements wait for the servers than they can answer in time";
 
+/// Why a statement is not sent to a server whose zone is evacuated.
+pub const EVACUATED: &str = "the server's zone is evacuated";
+
 /// The destination of a read.
 pub enum Destination {
     /// A server that has applied the log up to the position.
@@ -81,7 +84,7 @@
 /// Returns the leader as the destination if this instance may rely on its replies.
 pub fn leader_destination(job: &Job<'_>) -> Destination {
     let leader = job.group.leader();
-    let leader = leader.filter(|_| job.group.holds_leader_lease());
+    let leader = leader.filter(|leader| job.group.holds_leader_lease() && !leader.is_evacuated());
     leader.map_or(Destination::Unavailable, Destination::Leader)
 }
 
@@ -97,7 +100,9 @@
             Destination::Server(server, floor) => (server, Some(floor)),
             Destination::Leader(server) => (server, None),
             Destination::Unavailable => {
-                let failure = cut_off_failure(job, false).or_else(|| unleased_failure(job, false));
+                let failure = cut_off_failure(job, false)
+                    .or_else(|| unleased_failure(job, false))
+                    .or_else(|| evacuated_failure(job));
                 if let Some(failure) = failure {
                     return Reply::failed(failure, State::Idle);
                 }
@@ -137,6 +142,10 @@
         connection.release();
         return Err(Refusal::Final(failure));
     }
+    if server.is_evacuated() {
+        connection.release();
+        return Err(Refusal::Retryable(EVACUATED.to_owned()));
+    }
     let sent = job.node.now();
     let mut requests = vec![job.request(&connection, floor)];
     if floor.is_none() {
@@ -255,6 +264,12 @@
     Some(not_run(job, why))
 }
 
+/// Returns a failure if no server may get the statement until an evacuation ends.
+pub fn evacuated_failure(job: &Job<'_>) -> Option<Failure> {
+    let why = "all servers of the group are in evacuated zones";
+    job.group.is_evacuated().then(|| not_run(job, why))
+}
+
 /// Returns the failure of a statement that did not run.
 pub fn not_run(job: &Job<'_>, why: &str) -> Failure {
     Failure::not_run(why, job.node.options.retry_after)
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -104,10 +104,17 @@
             {
                 return;
             }
+            let evacuation = node.evacuations_changed.notified();
             let idle = self.idle_time_left();
+            let evacuated = self.evacuation_time_left();
             let message = tokio::select! {
                 message = caller.receive() => message,
                 () = drain, if self.transaction.is_none() => continue,
+                () = evacuation, if self.transaction.is_some() => continue,
+                () = sleep(evacuated.unwrap_or_default()), if evacuated.is_some() => {
+                    self.end_evacuated_transaction();
+                    continue;
+                }
                 () = sleep(idle.unwrap_or_default()), if idle.is_some() => {
                     self.end_idle_transaction();
                     continue;
@@ -367,6 +374,21 @@
         (is_open && idle > Span::ZERO).then(|| until.since(self.node.now()).into())
     }
 
+    /// Returns how long the open transaction may stay at a server of an evacuated zone; `None` if it
+    /// isn't at one.
+    fn evacuation_time_left(&self) -> Option<Duration> {
+        let deadline = self.transaction.as_ref()?.deadline()?;
+        Some(deadline.since(self.node.now()).into())
+    }
+
+    /// Aborts a transaction at a server whose zone must be free of requests by now.
+    fn end_evacuated_transaction(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            log::debug!("event=transaction-evacuated account={}", self.account);
+            transaction.abort();
+        }
+    }
+
     /// Aborts a transaction that exceeded the idle timeout.
     fn end_idle_transaction(&mut self) {
         if let Some(transaction) = &mut self.transaction {
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -43,6 +43,8 @@
     pub arrived: Time,
     /// The connection, from the first statement on.
     connection: Option<Connection>,
+    /// The server of the connection.
+    server: Option<Arc<Server>>,
     /// Whether one of its writes succeeded.
     pub has_written: bool,
     /// Whether the transaction failed and can only be rolled back.
@@ -58,6 +60,7 @@
             group,
             arrived,
             connection: None,
+            server: None,
             has_written: false,
             is_failed: false,
         }
@@ -103,6 +106,11 @@
         let Some(mut connection) = self.connection.take() else {
             return Reply::failed(aborted("the connection is gone"), State::Idle);
         };
+        if is_overdue(self.server.as_ref(), job.node.now()) {
+            self.connection = Some(connection);
+            self.fail();
+            return Reply::failed(aborted(read::EVACUATED), State::Idle);
+        }
         let sent = job.node.now();
         connection.set_busy();
         let request = job.request(&connection, None);
@@ -133,6 +141,13 @@
         reply
     }
 
+    /// Returns when the transaction is rolled back because its server's zone is evacuated; `None` if
+    /// it isn't, or if the transaction has no connection.
+    pub fn deadline(&self) -> Option<Time> {
+        self.connection.as_ref()?;
+        self.server.as_ref()?.transaction_deadline()
+    }
+
     /// Aborts the transaction without telling the caller, who learns of it at its next statement.
     pub fn abort(&mut self) {
         self.fail();
@@ -170,6 +185,9 @@
         if let Some(failure) = job.node.recheck_key(job) {
             return Reply::failed(failure, State::Failed);
         }
+        if is_overdue(self.server.as_ref(), job.node.now()) {
+            return Reply::failed(aborted(read::EVACUATED), State::Failed);
+        }
         let request = job.request(connection, None);
         match connection.exchange(&[request], job.deadline).await {
             Ok(mut replies) => {
@@ -207,7 +225,8 @@
                 ));
             }
             let failure = read::cut_off_failure(job, !may_use_replica)
-                .or_else(|| read::unleased_failure(job, !may_use_replica));
+                .or_else(|| read::unleased_failure(job, !may_use_replica))
+                .or_else(|| read::evacuated_failure(job));
             if let Some(failure) = failure {
                 return Err(failure);
             }
@@ -231,6 +250,7 @@
             match self.begin_at(job, &server, floor).await {
                 Ok(connection) => {
                     self.connection = Some(connection);
+                    self.server = Some(server);
                     return Ok(());
                 }
                 Err(Refusal::Final(failure)) => return Err(failure),
@@ -263,6 +283,10 @@
             connection.release();
             return Err(Refusal::Final(failure));
         }
+        if server.is_evacuated() {
+            connection.release();
+            return Err(Refusal::Retryable(read::EVACUATED.to_owned()));
+        }
         let sent = job.node.now();
         // At the leader every transaction begins as read-write: only a leader accepts that.
         let begin = Request {
@@ -300,6 +324,13 @@
     }
 }
 
+/// Returns whether a transaction at this server must be rolled back because the server's zone is
+/// evacuated.
+fn is_overdue(server: Option<&Arc<Server>>, now: Time) -> bool {
+    let deadline = server.and_then(|server| server.transaction_deadline());
+    deadline.is_some_and(|deadline| now >= deadline)
+}
+
 fn aborted(why: &str) -> Failure {
     let text = format!("the transaction was rolled back: {why}");
     Failure::new(Code::Aborted, &text)
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -10,8 +10,10 @@
 use crate::message::Reply;
 use crate::message::State;
 use crate::session::Job;
+use crate::session::read::EVACUATED;
 use crate::session::read::OVERLOADED;
 use crate::session::read::cut_off_failure;
+use crate::session::read::evacuated_failure;
 use crate::session::read::refused;
 
 /// Delay before a write that did not run is retried.
@@ -23,10 +25,11 @@
         if job.is_expired() {
             return refused(job, "the group has no primary that can take the write");
         }
-        if let Some(failure) = cut_off_failure(job, true) {
+        if let Some(failure) = cut_off_failure(job, true).or_else(|| evacuated_failure(job)) {
             return Reply::failed(failure, State::Idle);
         }
-        let Some(server) = job.group.leader() else {
+        let leader = job.group.leader();
+        let Some(server) = leader.filter(|leader| !leader.is_evacuated()) else {
             job.wait_for_change(RETRY_DELAY).await;
             continue;
         };
@@ -61,6 +64,10 @@
         connection.release();
         return Attempt::Answer(Reply::failed(failure, State::Idle));
     }
+    if server.is_evacuated() {
+        connection.release();
+        return Attempt::NotRun(EVACUATED.to_owned());
+    }
     let sent = job.node.now();
     let request = job.request(&connection, None);
     let reply = match connection.commit(request, job.deadline).await {
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -1,8 +1,10 @@
 //! Settings and server descriptions from the platform.
 
+mod directive;
 mod revision;
 mod server;
 
+pub use directive::Directive;
 pub use revision::Account;
 pub use revision::Freshness;
 pub use revision::Group;
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -6,16 +6,21 @@
 
 use clock::Span;
 use clock::Time;
-use store::Batch;
 use store::Change;
+use store::Condition;
 use store::Progress;
+use store::Write;
+use store::version;
+use tokio::time::timeout;
 
+use crate::evacuation::Transition;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Topic;
-use crate::settings::Revision;
+use crate::settings::Directive;
 use crate::task::confirmation;
 use crate::task::follower::Follower;
+use crate::task::follower::Update;
 
 /// How long the store holds a call that waits for changes. Each reply confirms that the keys are in
 /// force, so this is well below their grace period. A store may hold changes back for a second
@@ -28,9 +33,15 @@
 /// the call that brought large settings may have begun long ago.
 const CONFIRMATION_AGE_MAX: Span = Span::from_secs(2);
 
+/// Transactions at servers of an evacuated zone are rolled back this long before the bound: half a
+/// second lets the last statement, sent just before, arrive over a slow link.
+const TRANSACTION_MARGIN: Span = Span::from_millis(500);
+/// Maximum wait for the store to write the row of an evacuation again.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Follows the settings until the process ends.
 pub async fn run(node: Arc<Node>) {
-    let mut follower = Follower::open(&node.dependencies.revisions, "settings");
+    let mut follower = Follower::open(&node.dependencies.directives, "settings");
     let mut is_known = false;
     loop {
         let poller = confirmation::choose_poller(&node, Topic::Settings).filter(|_| is_known);
@@ -47,7 +58,7 @@
 }
 
 /// Polls the store for changes; returns whether it replied.
-async fn poll_store(node: &Arc<Node>, follower: &mut Follower<Revision>) -> bool {
+async fn poll_store(node: &Arc<Node>, follower: &mut Follower<Directive>) -> bool {
     let confirmed = lock(&node.readiness).confirmed();
     let is_late = confirmed.is_some_and(|at| node.now() >= at + CONFIRMATION_AGE_MAX);
     let mut wait = if is_late {
@@ -72,9 +83,9 @@
         let Some(update) = update else {
             return false;
         };
-        apply(node, update.batch);
-        let number = node.revision().number;
-        confirm(node, begun, number);
+        apply(node, update).await;
+        confirm(node, begun, node.revision().number);
+        let number = node.confirmation_number();
         confirmation::respond(node, Topic::Settings, begun, number).await;
         return true;
     }
@@ -99,10 +110,11 @@
     let Some(answer) = answer else {
         return false;
     };
-    if answer.revision > node.revision().number {
+    let revision = node.revision().number;
+    if !lock(&node.evacuations).are_confirmed_by(revision, answer.revision) {
         return false;
     }
-    confirm(node, answer.at, answer.revision);
+    confirm(node, answer.at, answer.revision.min(revision));
     true
 }
 
@@ -112,11 +124,76 @@
     lock(&node.readiness).on_confirmed(at);
 }
 
-fn apply(node: &Node, batch: Batch<Revision>) {
+async fn apply(node: &Arc<Node>, update: Update<Directive>) {
+    let Update {
+        batch, is_snapshot, ..
+    } = update;
+    let mut rows = Vec::new();
     for Change { name, value } in batch.changes {
-        match value {
-            Some(revision) => node.apply(revision),
-            None => log::error!("event=settings-unreadable row={name}"),
+        match (Directive::zone(&name), value) {
+            (Some(zone), value) => rows.push((zone, value.is_some())),
+            (None, Some(Directive::Settings(revision))) => node.apply(revision),
+            (None, _) => log::error!("event=settings-unreadable row={name}"),
+        }
+    }
+    if let Some(bound) = node.options.evacuation_bound {
+        apply_evacuations(node, bound, batch.version, is_snapshot, &rows);
+        record_evacuations(node, version::era(batch.version)).await;
+    }
+}
+
+/// Applies the rows of evacuated zones and of those whose row was removed.
+fn apply_evacuations(
+    node: &Node,
+    bound: Span,
+    version: u64,
+    is_snapshot: bool,
+    rows: &[(Arc<str>, bool)],
+) {
+    let now = node.now();
+    let era = version::era(version);
+    // The row was written after the last confirmation, which did not show it yet.
+    let confirmed = lock(&node.readiness).confirmed().unwrap_or_default();
+    let deadline = (confirmed + bound) - TRANSACTION_MARGIN;
+    let transitions: Vec<Transition> = {
+        let mut evacuations = lock(&node.evacuations);
+        if is_snapshot {
+            let present = rows.iter().filter(|(_, is_present)| *is_present);
+            let zones = present.map(|(zone, _)| Arc::clone(zone)).collect();
+            evacuations.on_snapshot(now, deadline, era, &zones)
+        } else {
+            let changes = rows
+                .iter()
+                .filter_map(|(zone, is_present)| match is_present {
+                    true => evacuations.on_row(deadline, era, zone),
+                    false => evacuations.on_removed(now, zone),
+                });
+            changes.collect()
         }
+    };
+    node.on_evacuations(version, &transitions);
+}
+
+/// Writes the rows of evacuated zones again that the store lost when it returned from an older copy.
+///
+/// This precedes the response to the instances that query this one, so they find the rows.
+async fn record_evacuations(node: &Node, era: u64) {
+    let unrecorded = lock(&node.evacuations).unrecorded(era);
+    for zone in unrecorded {
+        let key: Arc<str> = Arc::from(format!(
+            "{}/{}{zone}",
+            Directive::TABLE,
+            Directive::EVACUATION_PREFIX
+        ));
+        let condition = Condition::Absent {
+            key: Arc::clone(&key),
+        };
+        let write = Write::Put {
+            key,
+            value: Arc::from("{}"),
+        };
+        let commit = node.dependencies.table.commit(vec![condition], vec![write]);
+        let result = timeout(RECORD_TIMEOUT, commit).await;
+        log::warn!("event=evacuation-rewritten zone={zone} era={era} result=\"{result:?}\"");
     }
 }
--- a/crates/relay/tests/relay/detector.rs
+++ b/crates/relay/tests/relay/detector.rs
@@ -44,6 +44,17 @@
     assert_eq!(detector.step(at(5_600), &observation), Some(Reason::Silent));
 }
 
+/// A planned replacement waits for the demotion, which a primary in a failed zone doesn't answer.
+#[test]
+fn a_silent_leader_in_an_evacuated_zone_is_replaced_as_silent() {
+    let mut detector = Detector::default();
+    let observation = Observation {
+        is_evacuated: true,
+        ..healthy(1_000)
+    };
+    assert_eq!(detector.step(at(5_000), &observation), Some(Reason::Silent));
+}
+
 #[test]
 fn a_leader_that_leaves_or_is_stuck_is_replaced_immediately() {
     let mut detector = Detector::default();
@@ -52,6 +63,11 @@
         ..healthy(100)
     };
     assert_eq!(detector.step(at(100), &leaving), Some(Reason::Leaving));
+    let evacuated = Observation {
+        is_evacuated: true,
+        ..healthy(100)
+    };
+    assert_eq!(detector.step(at(100), &evacuated), Some(Reason::Evacuated));
     let stuck = Observation {
         is_stuck: true,
         ..healthy(100)
--- /dev/null
+++ b/crates/relay/tests/relay/evacuation.rs
@@ -0,0 +1,317 @@
+//! Evacuation of zones, by complete instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::Span;
+use relay::message::Code;
+use relay::message::State;
+use relay::message::Statement;
+use store::Table;
+use store::version;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::world::Client;
+use crate::world::Instance;
+use crate::world::World;
+use crate::world::revision;
+
+/// The bound after which no request may reach a server in an evacuated zone.
+const BOUND: Span = Span::from_secs(5);
+
+/// Returns the servers that run the statements of `work` from now on.
+fn servers_since(world: &World, first: usize) -> Vec<Arc<str>> {
+    let runs = world.group.runs().split_off(first);
+    runs.into_iter().map(|run| run.server).collect()
+}
+
+/// Reads for `time`; returns the servers that ran the reads.
+async fn read_for(world: &World, client: &mut Client, time: Duration) -> Vec<Arc<str>> {
+    let first = world.group.runs().len();
+    let begun = Instant::now();
+    while begun.elapsed() < time {
+        client.read("x").await.expect("a read");
+        sleep(Duration::from_millis(20)).await;
+    }
+    servers_since(world, first)
+}
+
+fn begin(is_read_only: bool) -> Statement {
+    Statement::Begin { is_read_only }
+}
+
+/// Starts two instances, of which each learns of changes from the other or from the store.
+async fn start_two(world: &World) -> [Instance; 2] {
+    [world.start("i1").await, world.start("i2").await]
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_request_reaches_an_evacuated_zone_after_the_bound_until_the_end() {
+    let world = World::open_evacuable(BOUND);
+    let instances = start_two(&world).await;
+    let second = Duration::from_secs(1);
+    for instance in &instances {
+        let mut client = instance.connect("gallery").await;
+        let servers = read_for(&world, &mut client, second).await;
+        assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+    }
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    for instance in &instances {
+        let mut client = instance.connect("gallery").await;
+        let servers = read_for(&world, &mut client, 4 * second).await;
+        assert!(!servers.contains(&Arc::from("b")), "{servers:?}");
+    }
+    world.end_evacuation("b");
+    sleep(BOUND.into()).await;
+    for instance in &instances {
+        let mut client = instance.connect("gallery").await;
+        let servers = read_for(&world, &mut client, second).await;
+        assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_the_setting_evacuations_are_not_followed() {
+    let world = World::open();
+    world.set_zones();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("gallery").await;
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unknown_zone_changes_nothing() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("gallery").await;
+    world.evacuate("nowhere");
+    sleep(BOUND.into()).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+    assert_eq!(world.group.leader().as_deref(), Some("a"));
+}
+
+/// The row is in the store, so an instance obeys it from its first statement.
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_survives_a_restart_of_all_instances() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    instance.crash().await;
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("gallery").await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(2)).await;
+    assert!(!servers.contains(&Arc::from("b")), "{servers:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_instance_without_contact_to_the_store_keeps_its_state() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start_lenient("i1").await;
+    let mut client = instance.connect("gallery").await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    world.directives.set_down(true);
+    world.end_evacuation("b");
+    let servers = read_for(&world, &mut client, Duration::from_secs(3)).await;
+    assert!(!servers.contains(&Arc::from("b")), "{servers:?}");
+    world.directives.set_down(false);
+    sleep(BOUND.into()).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+}
+
+/// The operator's row was acknowledged, so the evacuation must outlast the loss of the row.
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_survives_a_store_that_returns_without_its_row() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("gallery").await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    world.end_evacuation("b");
+    world.directives.set_version(version::join(1, 1));
+    sleep(BOUND.into()).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(!servers.contains(&Arc::from("b")), "{servers:?}");
+    let row = world.table.get("op/evacuate/b").await.expect("a read");
+    assert_eq!(row.map(|row| row.value).as_deref(), Some("{}"));
+    // The platform delivers the row that was written again; then the operator removes it.
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    world.end_evacuation("b");
+    sleep(BOUND.into()).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    assert!(servers.contains(&Arc::from("b")), "{servers:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_primary_in_an_evacuated_zone_hands_over_without_a_failed_write() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    // Both zones are evacuated at once, so only one server may be promoted.
+    world.evacuate("a");
+    world.evacuate("b");
+    let begun = Instant::now();
+    let mut writes = 0;
+    while begun.elapsed() < Duration::from_secs(4) {
+        client.write("y", "1").await.expect("no write fails");
+        writes += 1;
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(world.group.leader().as_deref(), Some("c"));
+    assert_eq!(world.group.writes("y"), writes);
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+    let orders = world.group.orders();
+    assert!(
+        orders.iter().all(|order| &*order.server == "c"),
+        "{orders:?}"
+    );
+}
+
+/// A replica in the zone may be the only one that holds the last commits.
+#[tokio::test(start_paused = true)]
+async fn a_server_in_an_evacuated_zone_is_not_promoted_even_if_only_it_has_all() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    world.group.isolate("c", true);
+    client.write("x", "kept").await.expect("b received it");
+    world.evacuate("b");
+    sleep(Duration::from_secs(2)).await;
+    world.group.crash("a");
+    sleep(Duration::from_secs(10)).await;
+    assert!(
+        world.group.orders().is_empty(),
+        "{:?}",
+        world.group.orders()
+    );
+    world.end_evacuation("b");
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_primary_that_dies_in_an_evacuated_zone_is_replaced() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "kept").await.expect("a write");
+    world.group.set_silent("a", true);
+    world.evacuate("a");
+    sleep(BOUND.into()).await;
+    client.write("y", "1").await.expect("a new primary");
+    assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_that_ends_during_the_replacement_leaves_a_primary() {
+    for pause in (0..600).step_by(60) {
+        let world = World::open_evacuable(BOUND);
+        let instance = world.start("i1").await;
+        let mut client = instance.connect("orders").await;
+        client.write("x", "kept").await.expect("a write");
+        world.evacuate("a");
+        sleep(Duration::from_millis(pause)).await;
+        world.end_evacuation("a");
+        sleep(BOUND.into()).await;
+        client.write("y", "1").await.expect("a primary leads");
+        assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
+        assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+        assert!(world.group.paused().is_empty());
+    }
+}
+
+/// Callers must learn at once that nobody can run their statements, and that these did not run.
+#[tokio::test(start_paused = true)]
+async fn a_group_whose_zones_are_all_evacuated_refuses_at_once() {
+    let world = World::open_evacuable(BOUND);
+    let instance = world.start("i1").await;
+    let mut orders = instance.connect("orders").await;
+    let mut gallery = instance.connect("gallery").await;
+    for zone in ["a", "b", "c"] {
+        world.evacuate(zone);
+    }
+    sleep(BOUND.into()).await;
+    let first = world.group.runs().len();
+    let promotions = world.group.orders();
+    let begun = Instant::now();
+    let written = orders.write("x", "1").await.expect_err("no server");
+    let read = gallery.read("x").await.expect_err("no server");
+    assert!(begun.elapsed() < Duration::from_millis(100));
+    for failure in [written, read] {
+        assert_eq!(failure.code, Code::Busy);
+        assert!(failure.text.contains("retry-after"), "{failure:?}");
+    }
+    orders.run(begin(false)).await;
+    let failure = orders.write("x", "1").await.expect_err("no server");
+    assert_eq!(failure.code, Code::Busy);
+    orders.run(Statement::Rollback).await;
+    assert!(servers_since(&world, first).is_empty());
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(world.group.orders(), promotions, "nobody is promoted");
+    world.end_evacuation("b");
+    sleep(BOUND.into()).await;
+    orders.write("x", "1").await.expect("b serves again");
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_open_transaction_goes_on_and_is_aborted_before_the_bound() {
+    let world = World::open_evacuable(BOUND);
+    let mut settings = revision(2);
+    // The idle timeout must not end the transactions first.
+    settings.transaction_idle_timeout = Span::from_secs(60);
+    world.set_revision(settings);
+    let instance = world.start("i1").await;
+    let mut active = instance.connect("gallery").await;
+    let mut idle = instance.connect("gallery").await;
+    for client in [&mut active, &mut idle] {
+        client.run(begin(true)).await;
+        client.read("x").await.expect("a read");
+        let last = world.group.runs().pop().expect("a run");
+        assert_eq!(&*last.server, "b");
+    }
+    let begun = Instant::now();
+    world.evacuate("b");
+    sleep(Duration::from_millis(1_500)).await;
+    active.read("x").await.expect("the transaction goes on");
+    let mut runs = world.group.runs().len();
+    let aborted = loop {
+        match active.read("x").await {
+            Ok(_) => runs = world.group.runs().len(),
+            Err(failure) => break failure,
+        }
+        assert!(begun.elapsed() < BOUND.into(), "it ends before the bound");
+        sleep(Duration::from_millis(10)).await;
+    };
+    assert!(
+        matches!(aborted.code, Code::Aborted | Code::Malformed),
+        "{aborted:?}"
+    );
+    let committed = active.run(Statement::Commit).await;
+    assert_eq!(committed.code(), Some(Code::Aborted));
+    assert_eq!(committed.state, State::Idle);
+    sleep(BOUND.into()).await;
+    let committed = idle.run(Statement::Commit).await;
+    assert_eq!(committed.code(), Some(Code::Aborted));
+    assert_eq!(
+        world.group.runs().len(),
+        runs,
+        "no statement is sent any more"
+    );
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,6 +5,8 @@
 mod departures;
 mod deposed;
 mod detector;
+mod evacuation;
+mod evacuations;
 mod leader_lease;
 mod leadership;
 mod lease;
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -231,7 +231,7 @@
     let world = World::open();
     let instance = world.start("i1").await;
     let mut client = instance.connect("orders").await;
-    world.revisions.set_down(true);
+    world.directives.set_down(true);
     sleep(Duration::from_millis(500)).await;
     client.write("x", "1").await.expect("within the grace");
     sleep(Duration::from_millis(200)).await;
@@ -251,7 +251,7 @@
     assert!(failure.text.contains("not run"), "{}", failure.text);
     assert!(failure.text.contains("retry-after-ms"), "{}", failure.text);
     let writes = world.group.writes("x");
-    world.revisions.set_down(false);
+    world.directives.set_down(false);
     sleep(Duration::from_millis(500)).await;
     let mut client = instance.connect("orders").await;
     client.write("x", "3").await.expect("the store is back");
@@ -356,7 +356,7 @@
     let world = World::open();
     let instance = world.start_lenient("i1").await;
     let mut client = instance.connect("orders").await;
-    world.revisions.set_down(true);
+    world.directives.set_down(true);
     let mut writes = 0;
     for _ in 0..100 {
         sleep(Duration::from_millis(100)).await;
--- a/crates/relay/tests/relay/settings_schedule.rs
+++ b/crates/relay/tests/relay/settings_schedule.rs
@@ -71,7 +71,7 @@
         world.set_revision(numbered(1));
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         if rng.random_bool(0.5) {
-            world.revisions.keep_history();
+            world.directives.keep_history();
         }
         Self {
             world,
@@ -107,7 +107,7 @@
             pause: Duration::from_millis(self.rng.random_range(0..=100)),
             is_cut_off,
         };
-        self.world.revisions.set_delivery(delivery);
+        self.world.directives.set_delivery(delivery);
         if is_cut_off || self.is_down {
             self.reachable = None;
         } else {
@@ -117,7 +117,7 @@
 
     fn set_down(&mut self, is_down: bool) {
         self.is_down = is_down;
-        self.world.revisions.set_down(is_down);
+        self.world.directives.set_down(is_down);
         self.deliver();
     }
 
--- a/crates/relay/tests/relay/slow_settings.rs
+++ b/crates/relay/tests/relay/slow_settings.rs
@@ -32,7 +32,7 @@
 async fn settings_that_take_two_seconds_to_arrive_come_into_force() {
     let world = World::open();
     let instance = world.start("i1").await;
-    world.revisions.set_delivery(every(100, 20));
+    world.directives.set_delivery(every(100, 20));
     drop_gallery(&world);
     sleep(Duration::from_millis(4_000)).await;
     let refused = instance.connect_as("gallery", KEY).await;
@@ -45,8 +45,8 @@
 async fn refused_callers_do_not_interrupt_the_arrival_of_settings() {
     let world = World::open();
     let instance = world.start("i1").await;
-    world.revisions.set_delivery(every(100, 50));
-    let before = world.revisions.deliveries();
+    world.directives.set_delivery(every(100, 50));
+    let before = world.directives.deliveries();
     drop_gallery(&world);
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_millis(6_000) {
@@ -56,20 +56,20 @@
         sleep(Duration::from_millis(50)).await;
     }
     assert!(instance.connect_as("gallery", KEY).await.is_err());
-    assert_eq!(world.revisions.deliveries(), before + 1);
+    assert_eq!(world.directives.deliveries(), before + 1);
 }
 
 #[tokio::test(start_paused = true)]
 async fn settings_that_stop_arriving_are_requested_again() {
     let world = World::open();
     let instance = world.start("i1").await;
-    world.revisions.set_delivery(Delivery {
+    world.directives.set_delivery(Delivery {
         is_cut_off: true,
         ..every(100, 3)
     });
     drop_gallery(&world);
     sleep(Duration::from_millis(700)).await;
-    world.revisions.set_delivery(Delivery::default());
+    world.directives.set_delivery(Delivery::default());
     sleep(Duration::from_millis(1_500)).await;
     assert!(instance.connect_as("gallery", KEY).await.is_err());
 }
@@ -78,10 +78,10 @@
 #[tokio::test(start_paused = true)]
 async fn keys_do_not_lapse_after_settings_that_arrived_slowly() {
     let world = World::open();
-    world.revisions.keep_history();
+    world.directives.keep_history();
     // Two long polls and the arrival of the settings lie between two confirmations.
     let instance = world.start_with_grace("i1", Span::from_millis(4_900)).await;
-    world.revisions.set_delivery(every(100, 12));
+    world.directives.set_delivery(every(100, 12));
     let mut client = instance.connect("orders").await;
     for number in 2..6 {
         for _ in 0..40 {
@@ -95,9 +95,9 @@
 #[tokio::test(start_paused = true)]
 async fn idle_sessions_stay_open_while_settings_arrive() {
     let world = World::open();
-    world.revisions.keep_history();
+    world.directives.keep_history();
     let instance = world.start_with_grace("i1", Span::from_millis(4_900)).await;
-    world.revisions.set_delivery(every(100, 15));
+    world.directives.set_delivery(every(100, 15));
     let mut client = instance.connect("orders").await;
     // The changes come at different moments of a long poll.
     for number in 2..16 {
--- a/crates/relay/tests/relay/survey.rs
+++ b/crates/relay/tests/relay/survey.rs
@@ -91,6 +91,21 @@
     assert_eq!(survey.choose(), promote("a"));
 }
 
+/// Its zone may be switched off at any time, so waiting is better than promoting it.
+#[test]
+fn a_server_in_an_evacuated_zone_is_never_chosen_but_counts_as_a_holder() {
+    let mut survey = survey(&["p", "a", "b"], &[("a", 57), ("b", 57)]);
+    survey.evacuated.insert(Arc::from("a"));
+    assert_eq!(survey.choose(), promote("b"));
+    survey.paused = logs(&[("a", 57), ("b", 56)]);
+    assert!(is_wait(&survey.choose()), "b lacks a commit that a holds");
+    survey.demoted = Some((Arc::from("p"), position(57)));
+    survey.evacuated.insert(Arc::from("p"));
+    assert!(is_wait(&survey.choose()));
+    survey.paused = logs(&[("b", 57)]);
+    assert_eq!(survey.choose(), promote("b"));
+}
+
 #[test]
 fn without_synchronous_replicas_every_server_must_answer() {
     let mut survey = survey(&["p", "a"], &[("a", 5)]);
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -23,6 +23,7 @@
 use relay::node::Fencing;
 use relay::node::Options;
 use relay::settings;
+use relay::settings::Directive;
 use relay::settings::Freshness;
 use relay::settings::Revision;
 use relay::settings::Route;
@@ -137,6 +138,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Changes the version, whose era may differ, as a store does that returns from an older copy.
+    pub fn set_version(&self, version: u64) {
+        self.rows.lock().expect("no test panics with the lock").0 = version;
+        self.changed.notify_waiters();
+    }
+
     /// Makes calls fail or succeed.
     pub fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, Ordering::Relaxed);
@@ -327,9 +334,10 @@
 pub struct World {
     pub group: Arc<Group>,
     pub table: Arc<Memory>,
-    pub revisions: Arc<Rows<Revision>>,
+    pub directives: Arc<Rows<Directive>>,
     pub servers: Arc<Rows<settings::Server>>,
     fencing: Fencing,
+    evacuation_bound: Option<Span>,
     /// The peer address of each instance, which is the same after a restart.
     peers: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
 }
@@ -340,9 +348,10 @@
         let world = Self {
             group: Group::open(),
             table: Memory::open(),
-            revisions: Rows::open(),
+            directives: Rows::open(),
             servers: Rows::open(),
             fencing: Fencing::Enforced,
+            evacuation_bound: None,
             peers: Mutex::default(),
         };
         world.set_revision(revision(1));
@@ -352,6 +361,23 @@
         world
     }
 
+    /// Opens a world whose instances follow evacuations; each server is in the zone of its name.
+    pub fn open_evacuable(bound: Span) -> Self {
+        let world = Self {
+            evacuation_bound: Some(bound),
+            ..Self::open()
+        };
+        world.set_zones();
+        world
+    }
+
+    /// Puts each server into the zone of its name.
+    pub fn set_zones(&self) {
+        for (port, name) in [(1, "a"), (2, "b"), (3, "c")] {
+            self.set_entry_in(name, name, port, false);
+        }
+    }
+
     /// Opens a world in which a replaced primary goes on as such until it is demoted.
     pub fn open_unchecked() -> Self {
         let world = Self {
@@ -364,13 +390,34 @@
 
     /// Replaces the current revision of the settings.
     pub fn set_revision(&self, revision: Revision) {
-        self.revisions.change(|rows| {
-            rows.insert(Arc::from("config"), revision);
+        self.directives.change(|rows| {
+            rows.insert(Arc::from("config"), Directive::Settings(revision));
+        });
+    }
+
+    /// Writes the row that evacuates a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.directives.change(|rows| {
+            let key = format!("{}{zone}", Directive::EVACUATION_PREFIX);
+            rows.insert(Arc::from(key), Directive::Evacuation);
+        });
+    }
+
+    /// Removes the row that evacuates a zone.
+    pub fn end_evacuation(&self, zone: &str) {
+        self.directives.change(|rows| {
+            let key = format!("{}{zone}", Directive::EVACUATION_PREFIX);
+            rows.remove(&*key);
         });
     }
 
     /// Writes a server's entry.
     pub fn set_entry(&self, name: &str, port: u16, is_draining: bool) {
+        self.set_entry_in("z", name, port, is_draining);
+    }
+
+    /// Writes the entry of a server in a zone.
+    pub fn set_entry_in(&self, zone: &str, name: &str, port: u16, is_draining: bool) {
         let role = match self.group.leader().as_deref() == Some(name) {
             true => Role::Primary,
             false => Role::Replica,
@@ -378,7 +425,7 @@
         let entry = settings::Server {
             group: Arc::from(GROUP),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
-            zone: Arc::from("z"),
+            zone: Arc::from(zone),
             slots: 5,
             is_draining,
             role,
@@ -444,6 +491,7 @@
             key_grace,
             quota: None,
             fencing: self.fencing,
+            evacuation_bound: self.evacuation_bound,
             stop_timeout: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
@@ -456,7 +504,7 @@
             }),
             promoter,
             table,
-            revisions: self.revisions.clone(),
+            directives: self.directives.clone(),
             servers: self.servers.clone(),
             clock: Arc::<SuspendableClock>::clone(&clock),
         };
