Decide on requests to cold servers

Cause: all instances together must not send a server that warms up more than its rate allows, and they share no counter.

Change: relay::warmup divides wall-clock time into slots of one request each, which the live instances own in turn. Not used yet.

Test: relay warmup sums the requests of 71 instances, with rates from one request in five seconds to several a second and instance, and with clocks that differ by up to 100 ms.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod session;
 pub mod settings;
 pub mod task;
+pub mod warmup;
 
 pub use error::Error;
 pub use run::run;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -21,4 +21,5 @@
 mod slow_settings;
 mod stops;
 mod survey;
+mod warmup;
 mod world;
