Limit requests to cold servers

Cause: a server that has just started, or whose zone was evacuated, gets the full load at once.

Each request with an id to a cold server takes a slot of its pace. Reads go elsewhere without one; statements that only a cold primary can run wait for their turn. Cold servers are promoted last. Without these settings nothing changes. The wall clock of the tests follows the paused time. Also: an unfinished failover is finished although all zones are evacuated, so no replica stays paused.

--- a/crates/relay/src/failover/check.rs
+++ b/crates/relay/src/failover/check.rs
@@ -20,16 +20,16 @@
     if is_cut_off || is_leaving || group.servers().is_empty() {
         return;
     }
-    if group.is_evacuated() {
-        // No server may be promoted.
-        return;
-    }
     let observation = observe(now, group);
     let reason = match lock(&group.detector).step(now, &observation) {
         Some(reason) => reason,
         None if observation.is_known && lock(&group.recheck).step(now) => Reason::Unfinished,
         None => return,
     };
+    if reason != Reason::Unfinished && group.is_evacuated() {
+        // No server may be promoted.
+        return;
+    }
     if group.is_in_failover.swap(true, Ordering::Relaxed) {
         return;
     }
@@ -56,7 +56,7 @@
     Observation {
         is_known: true,
         is_leaving: leader.is_draining(),
-        is_evacuated: leader.is_evacuated(),
+        is_evacuated: leader.is_evacuated() && !group.is_evacuated(),
         proven_at,
         replied_at: health.replied_at,
         is_stuck: health.is_stuck(now),
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -396,7 +396,7 @@
         let servers = self.group.servers();
         survey.leaving = servers
             .iter()
-            .filter(|server| server.is_draining())
+            .filter(|server| server.is_draining() || self.group.is_cold(server))
             .map(|server| Arc::clone(&server.name))
             .collect();
         survey.evacuated = servers
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -21,7 +21,7 @@
     pub receiving: BTreeMap<Arc<str>, Position>,
     /// The highest position of a commit known to have been acknowledged.
     pub acknowledged: Position,
-    /// Servers that are about to leave; one is chosen only if no other server qualifies.
+    /// Servers that are about to leave or are cold; one is chosen only if no other server qualifies.
     pub leaving: BTreeSet<Arc<str>>,
     /// Servers in evacuated zones; none of them is chosen.
     pub evacuated: BTreeSet<Arc<str>>,
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -32,6 +32,10 @@
 use crate::node::lock;
 use crate::pool::Pool;
 use crate::settings;
+use crate::warmup::Allowance;
+use crate::warmup::Pace;
+use crate::warmup::Turn;
+use crate::warmup::Warmup;
 
 /// How long a removed server still counts as a possible holder of commits; a crashed server is back
 /// with its log well before that.
@@ -93,6 +97,10 @@
     connector: Arc<dyn Connector>,
     clock: Arc<dyn Clock>,
     evacuations: Arc<Mutex<Evacuations>>,
+    /// How far requests to cold servers may exceed their rate.
+    warmup_allowance: Allowance,
+    /// This instance's turn in sending requests to cold servers.
+    turn: Mutex<Turn>,
 }
 
 impl Group {
@@ -104,6 +112,7 @@
         connector: Arc<dyn Connector>,
         clock: Arc<dyn Clock>,
         evacuations: Arc<Mutex<Evacuations>>,
+        warmup_allowance: Allowance,
     ) -> Arc<Self> {
         Arc::new(Self {
             name: Arc::clone(name),
@@ -121,6 +130,8 @@
             connector,
             clock,
             evacuations,
+            warmup_allowance,
+            turn: Mutex::default(),
         })
     }
 
@@ -134,6 +145,65 @@
         lock(&self.servers).get(name).cloned()
     }
 
+    /// Sets this instance's turn in sending requests to cold servers.
+    pub fn set_turn(&self, turn: Turn) {
+        *lock(&self.turn) = turn;
+    }
+
+    /// Returns whether a server is warm or this instance may send it a request now.
+    pub fn may_send(&self, server: &Server) -> bool {
+        let Some(pace) = self.cold_pace(server) else {
+            return true;
+        };
+        let turn = *lock(&self.turn);
+        lock(&server.warmup).may_send(self.clock.wall_ms(), pace, turn)
+    }
+
+    /// Counts a request that is about to be sent to a server; returns false if the server is cold
+    /// and it isn't this instance's turn.
+    pub fn on_send(&self, server: &Server) -> bool {
+        let Some(pace) = self.cold_pace(server) else {
+            return true;
+        };
+        let turn = *lock(&self.turn);
+        lock(&server.warmup).on_send(self.clock.wall_ms(), pace, turn)
+    }
+
+    /// Returns whether a server is cold and its requests are limited.
+    pub fn is_cold(&self, server: &Server) -> bool {
+        self.cold_pace(server).is_some()
+    }
+
+    /// Returns the pace of requests to a server; `None` if it is warm.
+    fn cold_pace(&self, server: &Server) -> Option<Pace> {
+        let (duration, rate_milli) = {
+            let settings = lock(&self.settings);
+            (settings.warmup, settings.warmup_rate_milli)
+        };
+        if duration == Span::ZERO {
+            return None;
+        }
+        let now = self.clock.now();
+        let ended = server.evacuation_ended();
+        let is_cold = lock(&server.warmup).is_cold(now, ended, duration);
+        let pace = is_cold.then(|| Pace::open(rate_milli, self.warmup_allowance));
+        pace.flatten()
+    }
+
+    /// Returns the warm-up of a server that this instance has not seen since its start.
+    fn warmup_since_start(&self, entry: &settings::Server) -> Warmup {
+        let duration = lock(&self.settings).warmup;
+        let age = Span::from_millis(self.clock.wall_ms().saturating_sub(entry.born));
+        let left = duration.as_micros().saturating_sub(age.as_micros());
+        let mut warmup = Warmup::default();
+        let now = self.clock.now();
+        warmup.on_cold(now, Span::from_micros(left));
+        if duration > Span::ZERO {
+            warmup.on_cold(now, Span::from_millis(entry.warmup_left_ms));
+        }
+        warmup
+    }
+
     /// Returns whether all servers, of which there is at least one, are in evacuated zones.
     pub fn is_evacuated(&self) -> bool {
         if lock(&self.evacuations).count() == 0 {
@@ -165,8 +235,10 @@
                 if entry.is_draining && !was_draining {
                     log::info!("event=server-draining group={} server={name}", self.name);
                 }
+                let left = Span::from_millis(entry.warmup_left_ms);
                 *current = entry;
                 drop(current);
+                lock(&server.warmup).on_cold(self.clock.now(), left);
                 self.changed.notify_waiters();
                 return;
             }
@@ -193,8 +265,10 @@
             Arc::clone(&health),
             Arc::clone(&self.clock),
         );
+        let warmup = self.warmup_since_start(&entry);
         let server = Server {
             name: Arc::clone(name),
+            warmup: Mutex::new(warmup),
             entry: Mutex::new(entry),
             health,
             pool,
@@ -318,7 +392,7 @@
         self.servers()
             .into_iter()
             .filter(|server| !tried.contains(&server.name) && !server.is_draining())
-            .filter(|server| !server.is_evacuated())
+            .filter(|server| !server.is_evacuated() && self.may_send(server))
             .filter(|server| lock(&server.health).can_serve(now, floor))
             .min_by_key(|server| {
                 let is_leader = leader.as_ref() == Some(&server.name);
--- a/crates/relay/src/group/server.rs
+++ b/crates/relay/src/group/server.rs
@@ -10,6 +10,7 @@
 use crate::node::lock;
 use crate::pool::Pool;
 use crate::settings;
+use crate::warmup::Warmup;
 
 /// A server since its last start, with the connections to it.
 pub struct Server {
@@ -19,6 +20,8 @@
     pub entry: Mutex<settings::Server>,
     /// Its health as seen by this instance.
     pub health: Arc<Mutex<Health>>,
+    /// Its warm-up after its start.
+    pub(super) warmup: Mutex<Warmup>,
     /// The connections to it.
     pub pool: Arc<Pool>,
     /// The evacuated zones.
@@ -42,6 +45,11 @@
         lock(&self.evacuations).deadline(&self.zone())
     }
 
+    /// Returns when this instance noticed the end of its zone's last evacuation.
+    pub(super) fn evacuation_ended(&self) -> Option<Time> {
+        lock(&self.evacuations).ended(&self.zone())
+    }
+
     /// Returns its availability zone.
     pub fn zone(&self) -> Arc<str> {
         Arc::clone(&lock(&self.entry).zone)
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -52,6 +52,7 @@
 use crate::settings::Route;
 use crate::settings::Server;
 use crate::task::confirmation;
+use crate::warmup::Turn;
 
 /// Connections reserved at each server for the failover tasks.
 const SPARE_CONNECTIONS: usize = 2;
@@ -366,12 +367,26 @@
             return;
         }
         let others: Vec<Arc<str>> = self.peer_addresses().into_keys().collect();
+        let turn = self.turn(&others);
         let own = lock(&self.load).per_second();
         for group in self.groups() {
             let max_connections = lock(&group.settings).max_connections;
             let total = max_connections.saturating_sub(SPARE_CONNECTIONS);
             let share = lock(&self.shares).share(now, own, &others, total);
             group.set_connection_share(now, share, total);
+            group.set_turn(turn);
+        }
+    }
+
+    /// Returns this instance's place among all live instances in the order of their names.
+    fn turn(&self, others: &[Arc<str>]) -> Turn {
+        let name = &self.options.name;
+        let mut others: Vec<&Arc<str>> = others.iter().filter(|other| *other != name).collect();
+        others.sort();
+        // CAST: a fleet has few instances.
+        Turn {
+            place: others.partition_point(|other| *other < name) as u64,
+            instances: others.len() as u64 + 1,
         }
     }
 
@@ -501,6 +516,7 @@
                 Arc::clone(&self.dependencies.connector),
                 Arc::clone(&self.dependencies.clock),
                 Arc::clone(&self.evacuations),
+                self.options.warmup_allowance,
             );
             lock(&self.groups).insert(Arc::clone(name), Arc::clone(&group));
             let entries = lock(&self.entries).clone();
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -6,6 +6,8 @@
 use account::rate::Quota;
 use clock::Span;
 
+use crate::warmup::Allowance;
+
 /// Who keeps a replaced primary, and a former holder of the failover lease, from acting.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fencing {
@@ -38,6 +40,8 @@
     /// How long after the operator's order requests may still reach a server in an evacuated zone;
     /// `None` if evacuations are not followed.
     pub evacuation_bound: Option<Span>,
+    /// How far requests to cold servers may exceed their rate.
+    pub warmup_allowance: Allowance,
     /// The time limit of a graceful stop.
     pub stop_timeout: Span,
     /// The retry delay given to a caller whose statement did not run.
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -22,6 +22,10 @@
 use crate::pool::Connection;
 use crate::settings::Route;
 
+/// How often a statement that only a cold server can run checks for its instance's turn; a slot
+/// lasts 20 ms or more at up to 50 requests a second.
+const TURN_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// A read, write or commit of a session, with its execution context.
 pub struct Job<'a> {
     /// The instance's state.
@@ -79,6 +83,18 @@
         }
     }
 
+    /// Waits until a request may be sent to a server, which takes time only if the server is cold;
+    /// returns false if that is not before the deadline.
+    pub async fn wait_for_turn(&self, server: &Server) -> bool {
+        while !self.group.on_send(server) {
+            if self.is_expired() {
+                return false;
+            }
+            tokio::time::sleep(TURN_CHECK_PERIOD).await;
+        }
+        true
+    }
+
     /// Acquires a connection to a server, queueing if necessary.
     pub async fn acquire(&self, server: &Server) -> Result<Connection, Error> {
         let priority = self.route.priority;
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -34,6 +34,9 @@
 /// Why a statement is not sent to a server whose zone is evacuated.
 pub const EVACUATED: &str = "the server's zone is evacuated";
 
+/// Why a statement is not sent to a server that is warming up.
+pub const COLD: &str = "the server is warming up";
+
 /// The destination of a read.
 pub enum Destination {
     /// A server that has applied the log up to the position.
@@ -85,6 +88,7 @@
 pub fn leader_destination(job: &Job<'_>) -> Destination {
     let leader = job.group.leader();
     let leader = leader.filter(|leader| job.group.holds_leader_lease() && !leader.is_evacuated());
+    let leader = leader.filter(|leader| job.group.may_send(leader));
     leader.map_or(Destination::Unavailable, Destination::Leader)
 }
 
@@ -146,6 +150,10 @@
         connection.release();
         return Err(Refusal::Retryable(EVACUATED.to_owned()));
     }
+    if !job.group.on_send(server) {
+        connection.release();
+        return Err(Refusal::Retryable(COLD.to_owned()));
+    }
     let sent = job.node.now();
     let mut requests = vec![job.request(&connection, floor)];
     if floor.is_none() {
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -106,6 +106,13 @@
         let Some(mut connection) = self.connection.take() else {
             return Reply::failed(aborted("the connection is gone"), State::Idle);
         };
+        if let Some(server) = &self.server
+            && !job.wait_for_turn(server).await
+        {
+            self.connection = Some(connection);
+            self.fail();
+            return Reply::failed(aborted(read::COLD), State::Idle);
+        }
         if is_overdue(self.server.as_ref(), job.node.now()) {
             self.connection = Some(connection);
             self.fail();
@@ -185,6 +192,11 @@
         if let Some(failure) = job.node.recheck_key(job) {
             return Reply::failed(failure, State::Failed);
         }
+        if let Some(server) = &self.server
+            && !job.wait_for_turn(server).await
+        {
+            return Reply::failed(aborted(read::COLD), State::Failed);
+        }
         if is_overdue(self.server.as_ref(), job.node.now()) {
             return Reply::failed(aborted(read::EVACUATED), State::Failed);
         }
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -10,6 +10,7 @@
 use crate::message::Reply;
 use crate::message::State;
 use crate::session::Job;
+use crate::session::read::COLD;
 use crate::session::read::EVACUATED;
 use crate::session::read::OVERLOADED;
 use crate::session::read::cut_off_failure;
@@ -33,6 +34,10 @@
             job.wait_for_change(RETRY_DELAY).await;
             continue;
         };
+        if !job.group.may_send(&server) {
+            job.wait_for_change(RETRY_DELAY).await;
+            continue;
+        }
         match attempt(job, &server).await {
             Attempt::Answer(reply) => return reply,
             Attempt::NotRun(why) => {
@@ -68,6 +73,10 @@
         connection.release();
         return Attempt::NotRun(EVACUATED.to_owned());
     }
+    if !job.group.on_send(server) {
+        connection.release();
+        return Attempt::NotRun(COLD.to_owned());
+    }
     let sent = job.node.now();
     let request = job.request(&connection, None);
     let reply = match connection.commit(request, job.deadline).await {
--- a/crates/relay/src/settings/revision.rs
+++ b/crates/relay/src/settings/revision.rs
@@ -50,6 +50,11 @@
     pub max_connections: usize,
     /// Replicas that must hold a commit before it is acknowledged.
     pub sync_replicas: usize,
+    /// How long a server is cold after its start or the evacuation of its zone; zero if it never is.
+    pub warmup: Span,
+    /// Requests a second, in thousandths, to a cold server from all instances together; zero means
+    /// no limit.
+    pub warmup_rate_milli: u64,
 }
 
 /// A client account.
--- a/crates/relay/src/settings/server.rs
+++ b/crates/relay/src/settings/server.rs
@@ -24,4 +24,7 @@
     pub role: Role,
     /// When it started, in milliseconds of the wall clock; it differs after a restart.
     pub born: u64,
+    /// The rest of its warm-up when it wrote the entry, in milliseconds.
+    #[serde(default)]
+    pub warmup_left_ms: u64,
 }
--- a/crates/relay/tests/relay/departures.rs
+++ b/crates/relay/tests/relay/departures.rs
@@ -22,6 +22,7 @@
         slots: 5,
         is_draining: true,
         role: Role::Replica,
+        warmup_left_ms: 0,
         born: 1,
     };
     names
--- a/crates/relay/tests/relay/evacuation.rs
+++ b/crates/relay/tests/relay/evacuation.rs
@@ -315,3 +315,96 @@
         "no statement is sent any more"
     );
 }
+
+/// The settings with a limit of requests to cold servers.
+fn limited(number: u64, warmup: Span, rate_milli: u64) -> relay::settings::Revision {
+    let mut settings = revision(number);
+    for group in settings.groups.values_mut() {
+        group.warmup = warmup;
+        group.warmup_rate_milli = rate_milli;
+    }
+    settings
+}
+
+/// Its caches are empty, and all instances return to it at the same moment.
+#[tokio::test(start_paused = true)]
+async fn a_server_gets_few_requests_after_the_evacuation_of_its_zone() {
+    let world = World::open_evacuable(BOUND);
+    world.set_revision(limited(2, Span::from_secs(20), 4_000));
+    let instances = start_two(&world).await;
+    let mut clients = Vec::new();
+    for instance in &instances {
+        clients.push(instance.connect("gallery").await);
+    }
+    world.evacuate("b");
+    sleep(BOUND.into()).await;
+    // Only b is left for reads that need no other server.
+    world.evacuate("c");
+    sleep(BOUND.into()).await;
+    world.end_evacuation("b");
+    let mut sent: Vec<Instant> = Vec::new();
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(15) {
+        for client in &mut clients {
+            let first = world.group.runs().len();
+            client.read("x").await.expect("a server reads");
+            let servers = servers_since(&world, first);
+            sent.extend(
+                servers
+                    .iter()
+                    .filter(|server| &***server == "b")
+                    .map(|_| Instant::now()),
+            );
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    let second = Duration::from_secs(1);
+    let most = sent.iter().map(|from| {
+        let in_second = |at: &&Instant| **at >= *from && **at < *from + second;
+        sent.iter().filter(in_second).count()
+    });
+    let most = most.max().unwrap_or_default();
+    // 4 x 1.5 + 5.
+    assert!(most <= 11, "{most} requests in a second");
+    assert!(sent.len() >= 30, "b gets {} requests", sent.len());
+}
+
+/// A server that has just started announces how long it stays cold.
+#[tokio::test(start_paused = true)]
+async fn a_cold_server_that_started_gets_few_requests_until_it_is_warm() {
+    let world = World::open();
+    world.set_revision(limited(2, Span::from_secs(20), 1_000));
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("gallery").await;
+    world.set_cold_entry("b", 2, 10_000);
+    sleep(Duration::from_secs(2)).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(5)).await;
+    let at_b = servers.iter().filter(|server| &***server == "b").count();
+    assert!(at_b <= 12, "{at_b} requests in 5 s");
+    sleep(Duration::from_secs(8)).await;
+    let servers = read_for(&world, &mut client, Duration::from_secs(1)).await;
+    let at_b = servers.iter().filter(|server| &***server == "b").count();
+    assert!(at_b > 20, "{at_b} requests in 1 s");
+}
+
+/// Writes have no other server, so they wait for their turn within their time limit.
+#[tokio::test(start_paused = true)]
+async fn writes_at_a_cold_primary_wait_for_their_turn() {
+    let world = World::open();
+    world.set_revision(limited(2, Span::from_secs(20), 4_000));
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    world.set_cold_entry("a", 1, 10_000);
+    sleep(Duration::from_secs(2)).await;
+    let begun = Instant::now();
+    for _ in 0..12 {
+        client.write("x", "1").await.expect("its turn comes");
+    }
+    let taken = begun.elapsed();
+    assert!(taken >= Duration::from_secs(1), "12 writes took {taken:?}");
+    client.run(begin(false)).await;
+    client.write("x", "2").await.expect("its turn comes");
+    let committed = client.run(Statement::Commit).await;
+    assert!(committed.outcome.is_ok(), "{committed:?}");
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -27,6 +27,7 @@
 use relay::settings::Freshness;
 use relay::settings::Revision;
 use relay::settings::Route;
+use relay::warmup::Allowance;
 use store::Batch;
 use store::Change;
 use store::Condition;
@@ -43,6 +44,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::Client;
 use super::caller::Acceptor;
@@ -53,6 +55,9 @@
 /// The key of the account `shop`.
 pub const KEY: &str = "k1";
 
+/// The wall-clock time at which a world is opened, in milliseconds.
+const WALL_START_MS: u64 = 1_796_390_400_000;
+
 /// How the rows in a reply reach the caller.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Delivery {
@@ -205,11 +210,14 @@
     clock: System,
     /// Microseconds for which the instance was suspended.
     suspended_us: AtomicU64,
+    /// When the world was opened; the wall clock of all instances counts from then.
+    opened: Instant,
 }
 
 impl SuspendableClock {
-    fn open() -> Arc<Self> {
+    fn open(opened: Instant) -> Arc<Self> {
         Arc::new(Self {
+            opened,
             clock: System::open(),
             suspended_us: AtomicU64::new(0),
         })
@@ -222,7 +230,8 @@
     }
 
     fn wall_ms(&self) -> u64 {
-        self.clock.wall_ms()
+        // CAST: a test takes far less than 2^64 milliseconds.
+        WALL_START_MS + self.opened.elapsed().as_millis() as u64
     }
 }
 
@@ -249,6 +258,8 @@
     let group = settings::Group {
         max_connections: 34,
         sync_replicas: 1,
+        warmup: Span::ZERO,
+        warmup_rate_milli: 0,
     };
     let account = |key: &str| settings::Account {
         keys: BTreeSet::from([Arc::from(key)]),
@@ -337,6 +348,7 @@
     pub directives: Arc<Rows<Directive>>,
     pub servers: Arc<Rows<settings::Server>>,
     fencing: Fencing,
+    opened: Instant,
     evacuation_bound: Option<Span>,
     /// The peer address of each instance, which is the same after a restart.
     peers: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
@@ -351,6 +363,7 @@
             directives: Rows::open(),
             servers: Rows::open(),
             fencing: Fencing::Enforced,
+            opened: Instant::now(),
             evacuation_bound: None,
             peers: Mutex::default(),
         };
@@ -418,22 +431,48 @@
 
     /// Writes the entry of a server in a zone.
     pub fn set_entry_in(&self, zone: &str, name: &str, port: u16, is_draining: bool) {
+        self.put_entry(
+            name,
+            settings::Server {
+                zone: Arc::from(zone),
+                is_draining,
+                ..self.entry(name, port)
+            },
+        );
+    }
+
+    /// Writes the entry of a server that stays cold for a while.
+    pub fn set_cold_entry(&self, name: &str, port: u16, warmup_left_ms: u64) {
+        self.put_entry(
+            name,
+            settings::Server {
+                warmup_left_ms,
+                ..self.entry(name, port)
+            },
+        );
+    }
+
+    fn put_entry(&self, name: &str, entry: settings::Server) {
+        self.servers.change(|rows| {
+            rows.insert(Arc::from(name), entry);
+        });
+    }
+
+    fn entry(&self, name: &str, port: u16) -> settings::Server {
         let role = match self.group.leader().as_deref() == Some(name) {
             true => Role::Primary,
             false => Role::Replica,
         };
-        let entry = settings::Server {
+        settings::Server {
             group: Arc::from(GROUP),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
-            zone: Arc::from(zone),
+            zone: Arc::from("z"),
             slots: 5,
-            is_draining,
+            is_draining: false,
             role,
             born: 1,
-        };
-        self.servers.change(|rows| {
-            rows.insert(Arc::from(name), entry);
-        });
+            warmup_left_ms: 0,
+        }
     }
 
     /// Starts an instance and waits until it serves statements.
@@ -492,11 +531,12 @@
             quota: None,
             fencing: self.fencing,
             evacuation_bound: self.evacuation_bound,
+            warmup_allowance: Allowance::default(),
             stop_timeout: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
         let promoter: Arc<Group> = Arc::clone(&self.group);
-        let clock = SuspendableClock::open();
+        let clock = SuspendableClock::open(self.opened);
         let dependencies = Dependencies {
             connector: Arc::new(Dialer {
                 group: Arc::clone(&self.group),
