Test evacuations by random schedules

Cause: the cases of evacuations, outages and restarts were tested one by one only.

Change: three instances with callers, random evacuations of up to two of three zones, outages of the feed and crashes of instances; each run of a statement is checked against the bound, and the group must recover without a lost write. A third of the schedules run with primaries that go on after their replacement.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod deposed;
 mod detector;
 mod evacuation;
+mod evacuation_schedule;
 mod evacuations;
 mod leader_lease;
 mod leadership;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -15,6 +15,7 @@
 use relay::external::Outcome;
 use relay::external::Promoter;
 use relay::message::Definition;
+use tokio::time::Instant;
 
 /// The group's name.
 pub const GROUP: &str = "huvo";
@@ -30,6 +31,8 @@
     pub values: BTreeMap<Arc<str>, Arc<str>>,
     /// The definition of a prepared statement.
     pub definition: Option<Definition>,
+    /// When it ran.
+    pub at: Instant,
 }
 
 /// One server.
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -384,6 +384,16 @@
         world
     }
 
+    /// As `open_evacuable`; a replaced primary goes on as such until it is demoted.
+    pub fn open_evacuable_unchecked(bound: Span) -> Self {
+        let world = Self {
+            evacuation_bound: Some(bound),
+            ..Self::open_unchecked()
+        };
+        world.set_zones();
+        world
+    }
+
     /// Puts each server into the zone of its name.
     pub fn set_zones(&self) {
         for (port, name) in [(1, "a"), (2, "b"), (3, "c")] {
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -19,6 +19,7 @@
 use relay::message::Request;
 use relay::message::State;
 use relay::message::Statement;
+use tokio::time::Instant;
 
 use super::group::Group;
 use super::group::Inner;
@@ -96,6 +97,7 @@
                 id: Arc::clone(id),
                 values: self.values.clone(),
                 definition,
+                at: Instant::now(),
             });
             if std::mem::take(&mut inner.loses_answer) {
                 return None;
