Test what is checked right before a statement is sent to a zone

Cause: without the check of a transaction's deadline, its rollback while idle, or the check after a wait for a connection, all tests passed.

Test: relay evacuation, of a suspended instance, of an idle transaction at the server, and of what waited for a connection.

--- a/crates/relay/tests/relay/evacuation.rs
+++ b/crates/relay/tests/relay/evacuation.rs
@@ -9,6 +9,7 @@
 use relay::message::Statement;
 use store::Table;
 use store::version;
+use test_case::test_case;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -273,10 +274,8 @@
 #[tokio::test(start_paused = true)]
 async fn an_open_transaction_goes_on_and_is_aborted_before_the_bound() {
     let world = World::open_evacuable(BOUND);
-    let mut settings = revision(2);
     // The idle timeout must not end the transactions first.
-    settings.transaction_idle_timeout = Span::from_secs(60);
-    world.set_revision(settings);
+    world.set_revision(patient(2));
     let instance = world.start("i1").await;
     let mut active = instance.connect("gallery").await;
     let mut idle = instance.connect("gallery").await;
@@ -316,6 +315,132 @@
     );
 }
 
+/// Settings under which a transaction may stay idle for long.
+fn patient(number: u64) -> relay::settings::Revision {
+    let mut settings = revision(number);
+    settings.transaction_idle_timeout = Span::from_secs(60);
+    settings
+}
+
+/// The server must be free of the zone's transactions although their callers send nothing.
+#[tokio::test(start_paused = true)]
+async fn an_idle_transaction_is_rolled_back_at_the_server_before_the_bound() {
+    let world = World::open_evacuable(BOUND);
+    world.set_revision(patient(2));
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("gallery").await;
+    client.run(begin(true)).await;
+    client.read("x").await.expect("a read");
+    let begun = Instant::now();
+    world.evacuate("b");
+    sleep(2 * Duration::from(BOUND)).await;
+    let rollbacks = world.group.rollbacks();
+    assert_eq!(rollbacks.len(), 1);
+    let after = rollbacks[0] - begun;
+    assert!(after < BOUND.into(), "rolled back after {after:?}");
+    assert!(
+        after > Duration::from_secs(2),
+        "rolled back after {after:?}"
+    );
+}
+
+/// The timer that rolls the transaction back has not fired yet when the caller's statement arrives.
+#[tokio::test(start_paused = true)]
+async fn a_transaction_of_a_suspended_instance_sends_nothing_after_the_bound() {
+    for ends in [false, true] {
+        let world = World::open_evacuable(BOUND);
+        world.set_revision(patient(2));
+        let instance = world.start_lenient("i1").await;
+        let mut client = instance.connect("gallery").await;
+        client.run(begin(true)).await;
+        client.read("x").await.expect("a read");
+        world.evacuate("b");
+        sleep(Duration::from_millis(500)).await;
+        instance.suspend(BOUND);
+        let runs = world.group.runs().len();
+        let code = match ends {
+            false => {
+                client
+                    .read("x")
+                    .await
+                    .expect_err("the bound has passed")
+                    .code
+            }
+            true => {
+                let committed = client.run(Statement::Commit).await;
+                committed.code().expect("the bound has passed")
+            }
+        };
+        assert_eq!(code, Code::Aborted);
+        assert_eq!(world.group.runs().len(), runs);
+    }
+}
+
+/// The server was chosen before the evacuation, and the statement has waited since.
+#[test_case("gallery", "b", false; "a read")]
+#[test_case("gallery", "b", true; "a transaction that reads")]
+#[test_case("orders", "a", false; "a write")]
+#[test_case("orders", "a", true; "a transaction that writes")]
+#[tokio::test(start_paused = true)]
+async fn what_waited_for_a_connection_does_not_reach_the_zone(
+    database: &str,
+    zone: &str,
+    is_transaction: bool,
+) {
+    let world = World::open_evacuable(BOUND);
+    let mut settings = patient(2);
+    for group in settings.groups.values_mut() {
+        // An instance then opens at most three connections to a server.
+        group.max_connections = 3;
+    }
+    for route in settings.routes.values_mut() {
+        let route = Arc::make_mut(route);
+        route.target_latency = Span::from_secs(60);
+        route.statement_timeout = Span::from_secs(20);
+    }
+    world.set_revision(settings);
+    let instance = world.start("i1").await;
+    let is_read_only = database == "gallery";
+    let statement = || match is_read_only {
+        true => Statement::Read {
+            item: Arc::from("x"),
+        },
+        false => Statement::Write {
+            arguments: Arc::from("x 1"),
+        },
+    };
+    let mut holders = Vec::new();
+    for _ in 0..3 {
+        let first = world.group.runs().len();
+        let mut holder = instance.connect(database).await;
+        holder.run(begin(is_read_only)).await;
+        assert!(holder.run(statement()).await.outcome.is_ok());
+        assert_eq!(servers_since(&world, first), [Arc::from(zone)]);
+        holders.push(holder);
+    }
+    let first = world.group.runs().len();
+    let mut waiting = instance.connect(database).await;
+    let waits = async {
+        if is_transaction {
+            waiting.run(begin(is_read_only)).await;
+        }
+        waiting.run(statement()).await
+    };
+    let evacuation = async {
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(servers_since(&world, first), [], "it waits");
+        world.evacuate(zone);
+        sleep(Duration::from_secs(1)).await;
+        for holder in &mut holders {
+            holder.run(Statement::Rollback).await;
+        }
+    };
+    let (reply, ()) = tokio::join!(waits, evacuation);
+    assert!(reply.outcome.is_ok(), "another server runs it: {reply:?}");
+    let servers = servers_since(&world, first);
+    assert!(!servers.contains(&Arc::from(zone)), "{servers:?}");
+}
+
 /// The settings with a limit of requests to cold servers.
 fn limited(number: u64, warmup: Span, rate_milli: u64) -> relay::settings::Revision {
     let mut settings = revision(number);
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -87,6 +87,8 @@
     /// The number of acknowledged records that a new leader lacked.
     pub(super) lost: usize,
     pub(super) runs: Vec<Run>,
+    /// When read-only transactions were rolled back, which probes never open.
+    pub(super) rollbacks: Vec<Instant>,
     /// Whether the reply to the next statement of a caller is lost after it ran.
     pub(super) loses_answer: bool,
     /// The server that leads after a caller's next statement, and a write that it then commits.
@@ -222,6 +224,11 @@
         self.lock().runs.clone()
     }
 
+    /// Returns when read-only transactions were rolled back.
+    pub fn rollbacks(&self) -> Vec<Instant> {
+        self.lock().rollbacks.clone()
+    }
+
     /// Returns and forgets the instances that have probed a server.
     pub fn take_probers(&self) -> BTreeSet<Arc<str>> {
         std::mem::take(&mut self.lock().probers)
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -68,6 +68,10 @@
             Statement::Execute { name, .. } => self.prepared.get(name).cloned(),
             _ => None,
         };
+        if request.statement == Statement::Rollback && self.state != State::Idle && !self.may_write
+        {
+            inner.rollbacks.push(Instant::now());
+        }
         let server = &inner.servers[&self.server];
         if request.floor.is_some_and(|floor| server.applied() < floor) {
             outcome = Err(Code::Behind);
