--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod leadership;
 mod lease;
 mod logger;
+mod metrics;
 mod opinion;
 mod pool;
 mod replacement;
