--- a/crates/relay/src/failover/check.rs
+++ b/crates/relay/src/failover/check.rs
@@ -26,6 +26,10 @@
         None if observation.is_known && lock(&group.recheck).step(now) => Reason::Unfinished,
         None => return,
     };
+    if reason != Reason::Unfinished && group.is_evacuated() {
+        // No server may be promoted.
+        return;
+    }
     if group.is_in_failover.swap(true, Ordering::Relaxed) {
         return;
     }
@@ -52,6 +56,7 @@
     Observation {
         is_known: true,
         is_leaving: leader.is_draining(),
+        is_evacuated: leader.is_evacuated() && !group.is_evacuated(),
         proven_at,
         replied_at: health.replied_at,
         is_stuck: health.is_stuck(now),
--- a/crates/relay/src/group/server.rs
+++ b/crates/relay/src/group/server.rs
@@ -3,9 +3,14 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use clock::Time;
+
+use crate::evacuation::Evacuations;
 use crate::group::Health;
+use crate::node::lock;
 use crate::pool::Pool;
 use crate::settings;
+use crate::warmup::Warmup;
 
 /// A server since its last start, with the connections to it.
 pub struct Server {
@@ -15,18 +20,38 @@
     pub entry: Mutex<settings::Server>,
     /// Its health as seen by this instance.
     pub health: Arc<Mutex<Health>>,
+    /// Its warm-up after its start.
+    pub(super) warmup: Mutex<Warmup>,
     /// The connections to it.
     pub pool: Arc<Pool>,
+    /// The evacuated zones.
+    pub(super) evacuations: Arc<Mutex<Evacuations>>,
 }
 
 impl Server {
     /// Returns whether the server is about to leave.
     pub fn is_draining(&self) -> bool {
-        crate::node::lock(&self.entry).is_draining
+        lock(&self.entry).is_draining
+    }
+
+    /// Returns whether its zone is evacuated, so that it gets no new statement or transaction.
+    pub fn is_evacuated(&self) -> bool {
+        lock(&self.evacuations).covers(&self.zone())
+    }
+
+    /// Returns when open transactions at this server are rolled back; `None` if its zone isn't
+    /// evacuated.
+    pub fn transaction_deadline(&self) -> Option<Time> {
+        lock(&self.evacuations).deadline(&self.zone())
+    }
+
+    /// Returns when this instance noticed the end of its zone's last evacuation.
+    pub(super) fn evacuation_ended(&self) -> Option<Time> {
+        lock(&self.evacuations).ended(&self.zone())
     }
 
     /// Returns its availability zone.
     pub fn zone(&self) -> Arc<str> {
-        Arc::clone(&crate::node::lock(&self.entry).zone)
+        Arc::clone(&lock(&self.entry).zone)
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod error;
 
+pub mod evacuation;
 pub mod external;
 pub mod failover;
 pub mod group;
@@ -18,6 +19,7 @@
 pub mod session;
 pub mod settings;
 pub mod task;
+pub mod warmup;
 
 pub use error::Error;
 pub use run::run;
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -22,6 +22,10 @@
 use crate::pool::Connection;
 use crate::settings::Route;
 
+/// How often a statement that only a cold server can run checks for its instance's turn; a slot
+/// lasts 20 ms or more at up to 50 requests a second.
+const TURN_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
 /// A read, write or commit of a session, with its execution context.
 pub struct Job<'a> {
     /// The instance's state.
@@ -53,6 +57,7 @@
 impl Job<'_> {
     /// Builds the request for a connection, with the server's name for a prepared statement.
     pub fn request(&self, connection: &Connection, floor: Option<Position>) -> Request {
+        self.count_evacuated(connection.server());
         let statement = match (self.statement, self.definition) {
             (Statement::Execute { arguments, .. }, Some(definition)) => Statement::Execute {
                 name: connection
@@ -69,6 +74,27 @@
         }
     }
 
+    /// Counts a statement that is about to be sent to a server of an evacuated zone, which only those
+    /// of open transactions are.
+    fn count_evacuated(&self, server: &str) {
+        let server = self.group.server(server);
+        if server.is_some_and(|server| server.is_evacuated()) {
+            self.node.metrics.evacuated_statements.inc();
+        }
+    }
+
+    /// Waits until a request may be sent to a server, which takes time only if the server is cold;
+    /// returns false if that is not before the deadline.
+    pub async fn wait_for_turn(&self, server: &Server) -> bool {
+        while !self.group.on_send(server) {
+            if self.is_expired() {
+                return false;
+            }
+            tokio::time::sleep(TURN_CHECK_PERIOD).await;
+        }
+        true
+    }
+
     /// Acquires a connection to a server, queueing if necessary.
     pub async fn acquire(&self, server: &Server) -> Result<Connection, Error> {
         let priority = self.route.priority;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -15,6 +15,7 @@
 use relay::external::Outcome;
 use relay::external::Promoter;
 use relay::message::Definition;
+use tokio::time::Instant;
 
 /// The group's name.
 pub const GROUP: &str = "huvo";
@@ -30,6 +31,8 @@
     pub values: BTreeMap<Arc<str>, Arc<str>>,
     /// The definition of a prepared statement.
     pub definition: Option<Definition>,
+    /// When it ran.
+    pub at: Instant,
 }
 
 /// One server.
@@ -84,6 +87,8 @@
     /// The number of acknowledged records that a new leader lacked.
     pub(super) lost: usize,
     pub(super) runs: Vec<Run>,
+    /// When read-only transactions were rolled back, which probes never open.
+    pub(super) rollbacks: Vec<Instant>,
     /// Whether the reply to the next statement of a caller is lost after it ran.
     pub(super) loses_answer: bool,
     /// The server that leads after a caller's next statement, and a write that it then commits.
@@ -219,6 +224,11 @@
         self.lock().runs.clone()
     }
 
+    /// Returns when read-only transactions were rolled back.
+    pub fn rollbacks(&self) -> Vec<Instant> {
+        self.lock().rollbacks.clone()
+    }
+
     /// Returns and forgets the instances that have probed a server.
     pub fn take_probers(&self) -> BTreeSet<Arc<str>> {
         std::mem::take(&mut self.lock().probers)
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -23,9 +23,11 @@
 use relay::node::Fencing;
 use relay::node::Options;
 use relay::settings;
+use relay::settings::Directive;
 use relay::settings::Freshness;
 use relay::settings::Revision;
 use relay::settings::Route;
+use relay::warmup::Allowance;
 use store::Batch;
 use store::Change;
 use store::Condition;
@@ -42,6 +44,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::Client;
 use super::caller::Acceptor;
@@ -52,6 +55,9 @@
 /// The key of the account `shop`.
 pub const KEY: &str = "k1";
 
+/// The wall-clock time at which a world is opened, in milliseconds.
+const WALL_START_MS: u64 = 1_796_390_400_000;
+
 /// How the rows in a reply reach the caller.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Delivery {
@@ -137,6 +143,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Changes the version, whose era may differ, as a store does that returns from an older copy.
+    pub fn set_version(&self, version: u64) {
+        self.rows.lock().expect("no test panics with the lock").0 = version;
+        self.changed.notify_waiters();
+    }
+
     /// Makes calls fail or succeed.
     pub fn set_down(&self, is_down: bool) {
         self.is_down.store(is_down, Ordering::Relaxed);
@@ -198,11 +210,14 @@
     clock: System,
     /// Microseconds for which the instance was suspended.
     suspended_us: AtomicU64,
+    /// When the world was opened; the wall clock of all instances counts from then.
+    opened: Instant,
 }
 
 impl SuspendableClock {
-    fn open() -> Arc<Self> {
+    fn open(opened: Instant) -> Arc<Self> {
         Arc::new(Self {
+            opened,
             clock: System::open(),
             suspended_us: AtomicU64::new(0),
         })
@@ -215,7 +230,8 @@
     }
 
     fn wall_ms(&self) -> u64 {
-        self.clock.wall_ms()
+        // CAST: a test takes far less than 2^64 milliseconds.
+        WALL_START_MS + self.opened.elapsed().as_millis() as u64
     }
 }
 
@@ -242,6 +258,8 @@
     let group = settings::Group {
         max_connections: 34,
         sync_replicas: 1,
+        warmup: Span::ZERO,
+        warmup_rate_milli: 0,
     };
     let account = |key: &str| settings::Account {
         keys: BTreeSet::from([Arc::from(key)]),
@@ -327,9 +345,11 @@
 pub struct World {
     pub group: Arc<Group>,
     pub table: Arc<Memory>,
-    pub revisions: Arc<Rows<Revision>>,
+    pub directives: Arc<Rows<Directive>>,
     pub servers: Arc<Rows<settings::Server>>,
     fencing: Fencing,
+    opened: Instant,
+    evacuation_bound: Option<Span>,
     /// The peer address of each instance, which is the same after a restart.
     peers: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
 }
@@ -340,9 +360,11 @@
         let world = Self {
             group: Group::open(),
             table: Memory::open(),
-            revisions: Rows::open(),
+            directives: Rows::open(),
             servers: Rows::open(),
             fencing: Fencing::Enforced,
+            opened: Instant::now(),
+            evacuation_bound: None,
             peers: Mutex::default(),
         };
         world.set_revision(revision(1));
@@ -352,6 +374,33 @@
         world
     }
 
+    /// Opens a world whose instances follow evacuations; each server is in the zone of its name.
+    pub fn open_evacuable(bound: Span) -> Self {
+        let world = Self {
+            evacuation_bound: Some(bound),
+            ..Self::open()
+        };
+        world.set_zones();
+        world
+    }
+
+    /// As `open_evacuable`; a replaced primary goes on as such until it is demoted.
+    pub fn open_evacuable_unchecked(bound: Span) -> Self {
+        let world = Self {
+            evacuation_bound: Some(bound),
+            ..Self::open_unchecked()
+        };
+        world.set_zones();
+        world
+    }
+
+    /// Puts each server into the zone of its name.
+    pub fn set_zones(&self) {
+        for (port, name) in [(1, "a"), (2, "b"), (3, "c")] {
+            self.set_entry_in(name, name, port, false);
+        }
+    }
+
     /// Opens a world in which a replaced primary goes on as such until it is demoted.
     pub fn open_unchecked() -> Self {
         let world = Self {
@@ -364,29 +413,76 @@
 
     /// Replaces the current revision of the settings.
     pub fn set_revision(&self, revision: Revision) {
-        self.revisions.change(|rows| {
-            rows.insert(Arc::from("config"), revision);
+        self.directives.change(|rows| {
+            rows.insert(Arc::from("config"), Directive::Settings(revision));
+        });
+    }
+
+    /// Writes the row that evacuates a zone.
+    pub fn evacuate(&self, zone: &str) {
+        self.directives.change(|rows| {
+            let key = format!("{}{zone}", Directive::EVACUATION_PREFIX);
+            rows.insert(Arc::from(key), Directive::Evacuation);
+        });
+    }
+
+    /// Removes the row that evacuates a zone.
+    pub fn end_evacuation(&self, zone: &str) {
+        self.directives.change(|rows| {
+            let key = format!("{}{zone}", Directive::EVACUATION_PREFIX);
+            rows.remove(&*key);
         });
     }
 
     /// Writes a server's entry.
     pub fn set_entry(&self, name: &str, port: u16, is_draining: bool) {
+        self.set_entry_in("z", name, port, is_draining);
+    }
+
+    /// Writes the entry of a server in a zone.
+    pub fn set_entry_in(&self, zone: &str, name: &str, port: u16, is_draining: bool) {
+        self.put_entry(
+            name,
+            settings::Server {
+                zone: Arc::from(zone),
+                is_draining,
+                ..self.entry(name, port)
+            },
+        );
+    }
+
+    /// Writes the entry of a server that stays cold for a while.
+    pub fn set_cold_entry(&self, name: &str, port: u16, warmup_left_ms: u64) {
+        self.put_entry(
+            name,
+            settings::Server {
+                warmup_left_ms,
+                ..self.entry(name, port)
+            },
+        );
+    }
+
+    fn put_entry(&self, name: &str, entry: settings::Server) {
+        self.servers.change(|rows| {
+            rows.insert(Arc::from(name), entry);
+        });
+    }
+
+    fn entry(&self, name: &str, port: u16) -> settings::Server {
         let role = match self.group.leader().as_deref() == Some(name) {
             true => Role::Primary,
             false => Role::Replica,
         };
-        let entry = settings::Server {
+        settings::Server {
             group: Arc::from(GROUP),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             zone: Arc::from("z"),
             slots: 5,
-            is_draining,
+            is_draining: false,
             role,
             born: 1,
-        };
-        self.servers.change(|rows| {
-            rows.insert(Arc::from(name), entry);
-        });
+            warmup_left_ms: 0,
+        }
     }
 
     /// Starts an instance and waits until it serves statements.
@@ -444,11 +540,13 @@
             key_grace,
             quota: None,
             fencing: self.fencing,
+            evacuation_bound: self.evacuation_bound,
+            warmup_allowance: Allowance::default(),
             stop_timeout: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
         let promoter: Arc<Group> = Arc::clone(&self.group);
-        let clock = SuspendableClock::open();
+        let clock = SuspendableClock::open(self.opened);
         let dependencies = Dependencies {
             connector: Arc::new(Dialer {
                 group: Arc::clone(&self.group),
@@ -456,7 +554,7 @@
             }),
             promoter,
             table,
-            revisions: self.revisions.clone(),
+            directives: self.directives.clone(),
             servers: self.servers.clone(),
             clock: Arc::<SuspendableClock>::clone(&clock),
         };
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -19,6 +19,7 @@
 use relay::message::Request;
 use relay::message::State;
 use relay::message::Statement;
+use tokio::time::Instant;
 
 use super::group::Group;
 use super::group::Inner;
@@ -67,6 +68,10 @@
             Statement::Execute { name, .. } => self.prepared.get(name).cloned(),
             _ => None,
         };
+        if request.statement == Statement::Rollback && self.state != State::Idle && !self.may_write
+        {
+            inner.rollbacks.push(Instant::now());
+        }
         let server = &inner.servers[&self.server];
         if request.floor.is_some_and(|floor| server.applied() < floor) {
             outcome = Err(Code::Behind);
@@ -96,6 +101,7 @@
                 id: Arc::clone(id),
                 values: self.values.clone(),
                 definition,
+                at: Instant::now(),
             });
             if std::mem::take(&mut inner.loses_answer) {
                 return None;
