Leave rows of evacuations to the operator

Cause: instances tried to write rows of evacuations again that a returned store had lost, but may not write to that table, so the calls were rejected. Change: the zone stays evacuated until the operator's row is seen again and removed. Result: cargo test -p relay evacuation passes.

--- a/crates/relay/src/evacuation/evacuations.rs
+++ b/crates/relay/src/evacuation/evacuations.rs
@@ -27,8 +27,8 @@
 /// The evacuated zones as known to one instance.
 ///
 /// The row of a zone in the store is the evacuation. A row that is missing after the store returned
-/// from an older copy may have been written after that copy, so its zone stays evacuated and the
-/// row is written again.
+/// from an older copy may have been written after that copy, so its zone stays evacuated until the
+/// operator has written the row again and removes it; instances can't write such rows.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     zones: BTreeMap<Arc<str>, Evacuation>,
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -7,11 +7,8 @@
 use clock::Span;
 use clock::Time;
 use store::Change;
-use store::Condition;
 use store::Progress;
-use store::Write;
 use store::version;
-use tokio::time::timeout;
 
 use crate::evacuation::Transition;
 use crate::node::Node;
@@ -36,8 +33,6 @@
 /// Transactions at servers of an evacuated zone are rolled back this long before the bound: half a
 /// second lets the last statement, sent just before, arrive over a slow link.
 const TRANSACTION_MARGIN: Span = Span::from_millis(500);
-/// Maximum wait for the store to write the row of an evacuation again.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Follows the settings until the process ends.
 pub async fn run(node: Arc<Node>) {
@@ -83,7 +78,7 @@
         let Some(update) = update else {
             return false;
         };
-        apply(node, update).await;
+        apply(node, update);
         confirm(node, begun, node.revision().number);
         let number = node.confirmation_number();
         confirmation::respond(node, Topic::Settings, begun, number).await;
@@ -124,7 +119,7 @@
     lock(&node.readiness).on_confirmed(at);
 }
 
-async fn apply(node: &Arc<Node>, update: Update<Directive>) {
+fn apply(node: &Arc<Node>, update: Update<Directive>) {
     let Update {
         batch, is_snapshot, ..
     } = update;
@@ -138,7 +133,6 @@
     }
     if let Some(bound) = node.options.evacuation_bound {
         apply_evacuations(node, bound, batch.version, is_snapshot, &rows);
-        record_evacuations(node, version::era(batch.version)).await;
     }
 }
 
@@ -155,12 +149,13 @@
     // The row was written after the last confirmation, which did not show it yet.
     let confirmed = lock(&node.readiness).confirmed().unwrap_or_default();
     let deadline = (confirmed + bound) - TRANSACTION_MARGIN;
-    let transitions: Vec<Transition> = {
+    let (transitions, unconfirmed): (Vec<Transition>, _) = {
         let mut evacuations = lock(&node.evacuations);
         if is_snapshot {
             let present = rows.iter().filter(|(_, is_present)| *is_present);
             let zones = present.map(|(zone, _)| Arc::clone(zone)).collect();
-            evacuations.on_snapshot(now, deadline, era, &zones)
+            let transitions = evacuations.on_snapshot(now, deadline, era, &zones);
+            (transitions, evacuations.unrecorded(era))
         } else {
             let changes = rows
                 .iter()
@@ -168,32 +163,11 @@
                     true => evacuations.on_row(deadline, era, zone),
                     false => evacuations.on_removed(now, zone),
                 });
-            changes.collect()
+            (changes.collect(), Vec::new())
         }
     };
     node.on_evacuations(version, &transitions);
-}
-
-/// Writes the rows of evacuated zones again that the store lost when it returned from an older copy.
-///
-/// This precedes the response to the instances that query this one, so they find the rows.
-async fn record_evacuations(node: &Node, era: u64) {
-    let unrecorded = lock(&node.evacuations).unrecorded(era);
-    for zone in unrecorded {
-        let key: Arc<str> = Arc::from(format!(
-            "{}/{}{zone}",
-            Directive::TABLE,
-            Directive::EVACUATION_PREFIX
-        ));
-        let condition = Condition::Absent {
-            key: Arc::clone(&key),
-        };
-        let write = Write::Put {
-            key,
-            value: Arc::from("{}"),
-        };
-        let commit = node.dependencies.table.commit(vec![condition], vec![write]);
-        let result = timeout(RECORD_TIMEOUT, commit).await;
-        log::warn!("event=evacuation-rewritten zone={zone} era={era} result=\"{result:?}\"");
+    for zone in unconfirmed {
+        log::warn!("event=evacuation-row-missing zone={zone} era={era}");
     }
 }
