Refuse at once what the account's rate can't serve in time

Cause: in a flood every instance expected the refill of the whole fleet as loans, so a request waited 40 ms for tokens that no peer had, and was then told to return after the refill of a fraction of a token by the whole fleet, 0 to 1 ms.

Change: a request waits until a quarter of its route's target, and only while the own refill, or loans that peers show to have, bring its token by then. The earliest deadline goes first, so that routes with long targets don't take all tokens from those with short ones. The retry-after time is that of this instance's inflow for the missing tokens and those refused in the last second, with a jitter by request id. The metric yuccamount_refused counts refusals by reason.

Tests: account waiting::a_flood_beyond_the_refill_is_refused_at_once, while_peers_lend_nothing_one_request_waits_at_a_time, refused_requests_return_one_after_another_at_the_rate_of_the_refill, a_request_with_less_time_goes_before_one_that_can_wait; relay sessions::an_account_over_its_rate_is_refused_at_once_and_its_callers_return_apart. waiting::a_wait_ends_and_the_refusal_tells_when_to_come_back expected 10 ms, the refill of the whole fleet, of which one of two instances receives half: it now expects 20 ms, as exactly.

--- a/crates/account/src/rate/decision.rs
+++ b/crates/account/src/rate/decision.rs
@@ -21,7 +21,8 @@
     },
     /// The request does not run; the client may retry later.
     Refuse {
-        /// How long the fleet takes to refill the missing tokens.
+        /// When this instance is expected to have tokens left for the request, after those that it
+        /// refused in the last second.
         retry_after: Span,
     },
 }
--- a/crates/account/src/rate/lenders.rs
+++ b/crates/account/src/rate/lenders.rs
@@ -64,6 +64,11 @@
         self.directory.is_empty()
     }
 
+    /// Returns the number of peers.
+    pub fn count(&self) -> usize {
+        self.directory.len()
+    }
+
     /// Returns whether no borrow is pending.
     pub fn has_no_pending(&self) -> bool {
         self.pending.is_empty()
--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -11,6 +11,7 @@
 
 use crate::rate::Action;
 use crate::rate::Amount;
+use crate::rate::Attempt;
 use crate::rate::Borrow;
 use crate::rate::Decision;
 use crate::rate::Holder;
@@ -143,13 +144,25 @@
     /// `since` is `None` at the first call for a request. After `Decision::Wait`, each further call
     /// passes the `now` of the first call.
     pub fn admit(&mut self, now: Time, account: &str, cost: u64, since: Option<Time>) -> Decision {
+        let arrived = since.unwrap_or(now);
+        let attempt = Attempt {
+            cost,
+            arrived,
+            is_first: since.is_none(),
+            deadline: arrived + self.policy.max_wait,
+            salt: 0,
+        };
+        self.admit_by(now, account, &attempt)
+    }
+
+    /// Admits, delays or refuses a request of an account that may wait until its own deadline.
+    pub fn admit_by(&mut self, now: Time, account: &str, attempt: &Attempt) -> Decision {
         let Some(account) = self.accounts.get_mut(account) else {
             let retry_after = Span::from_secs(1);
             return Decision::Refuse { retry_after };
         };
-        let cost = Amount::from_tokens(cost);
-        let decision = account.admit(now, &self.policy, &self.schedule, cost, since);
-        if matches!(decision, Decision::Wait { .. }) && since.is_none() {
+        let decision = account.admit(now, &self.policy, &self.schedule, attempt);
+        if matches!(decision, Decision::Wait { .. }) && attempt.is_first {
             self.is_urgent = true;
         }
         decision
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -1,6 +1,7 @@
 //! Fleet-wide rate limits of accounts; docs/design/rates.md explains the design.
 
 mod account;
+mod attempt;
 mod bucket;
 mod decision;
 mod hash;
@@ -11,10 +12,13 @@
 mod placement;
 mod policy;
 mod quota;
+mod recent;
 mod registration;
 mod schedule;
 mod slices;
+mod waiting;
 
+pub use attempt::Attempt;
 pub use decision::Action;
 pub use decision::Decision;
 pub use decision::Send;
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -39,7 +39,8 @@
     /// How long newly acquired slices stay unused; longer than `loan`, so that the loans of the
     /// previous holder have expired.
     pub activation_delay: Span,
-    /// Maximum time that a request waits for tokens.
+    /// Maximum time that a request waits for tokens of other instances, and in `Limiter::admit` for
+    /// any tokens.
     pub max_wait: Span,
     /// Interval at which a waiting request is tried again.
     pub retry_interval: Span,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peers;
 pub mod pool;
 pub mod run;
+pub mod schedule;
 pub mod session;
 pub mod settings;
 pub mod task;
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::message::Code;
 use crate::node::lock;
+use crate::schedule::Reason;
 
 /// The upper bound of the first latency bucket, in seconds.
 const LATENCY_FIRST_S: f64 = 0.001;
@@ -26,11 +27,19 @@
     code: String,
 }
 
+/// The label of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Refusal {
+    /// The reason.
+    reason: String,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<Outcome, Counter>,
     latency: Histogram,
+    refusals: Family<Refusal, Counter>,
     /// Open sessions.
     pub sessions: Gauge,
     /// Bytes sent to other instances.
@@ -48,6 +57,7 @@
             registry: Mutex::new(Registry::with_prefix("yuccamount")),
             requests: Family::default(),
             latency: Histogram::new(exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BUCKETS)),
+            refusals: Family::default(),
             sessions: Gauge::default(),
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
@@ -64,6 +74,11 @@
             "Time from arrival to answer",
             metrics.latency.clone(),
         );
+        registry.register(
+            "refused",
+            "Requests refused before they were offered to a server, by reason",
+            metrics.refusals.clone(),
+        );
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register(
             "peer_bytes",
@@ -88,6 +103,12 @@
         self.latency.observe(time.as_secs_f64());
     }
 
+    /// Counts a request that was refused before it was offered to a server.
+    pub fn refused(&self, reason: Reason) {
+        let reason = reason.to_string();
+        self.refusals.get_or_create(&Refusal { reason }).inc();
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -15,6 +15,7 @@
 use account::key::Keys;
 use account::key::Policy as KeyPolicy;
 use account::rate;
+use account::rate::Attempt;
 use account::rate::Decision;
 use account::rate::Holder;
 use account::rate::Limit;
@@ -45,6 +46,8 @@
 use crate::peers::Topic;
 use crate::peers::Topics;
 use crate::peers::signed_ms;
+use crate::schedule;
+use crate::schedule::Reason;
 use crate::session::Job;
 use crate::settings::Revision;
 use crate::settings::Route;
@@ -400,20 +403,30 @@
         self.check_key(job.account, job.key, job.route).err()
     }
 
-    /// Takes a token from an account's rate limit, waiting briefly if one is expected soon.
-    pub async fn take_token(&self, account: &str) -> Result<(), Failure> {
-        let mut since = None;
+    /// Takes a token from an account's rate limit for the request `id`.
+    ///
+    /// It waits at most a quarter of the route's target, and only while a token is expected by then.
+    pub async fn take_token(&self, account: &str, id: &str, route: &Route) -> Result<(), Failure> {
+        let arrived = self.now();
+        let mut attempt = Attempt {
+            cost: 1,
+            arrived,
+            is_first: true,
+            deadline: arrived + Span::from_micros(route.target_latency.as_micros() / 4),
+            salt: schedule::salt(id),
+        };
         loop {
             let now = self.now();
-            let decision = lock(&self.limiter).admit(now, account, 1, since);
+            let decision = lock(&self.limiter).admit_by(now, account, &attempt);
             match decision {
                 Decision::Run => return Ok(()),
                 Decision::Refuse { retry_after } => {
+                    self.metrics.refused(Reason::Rate);
                     let why = "the account's rate is used up";
                     return Err(Failure::not_run(why, retry_after));
                 }
                 Decision::Wait { until } => {
-                    since = since.or(Some(now));
+                    attempt.is_first = false;
                     if lock(&self.limiter).is_urgent() {
                         self.limiter_due.notify_one();
                     }
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -190,7 +190,7 @@
                 self.prepared.remove(&name);
                 Reply::local(state)
             }
-            Statement::Begin { is_read_only } => self.begin(is_read_only, arrived).await,
+            Statement::Begin { is_read_only } => self.begin(id, is_read_only, arrived).await,
             Statement::Rollback => self.roll_back(),
             Statement::Commit => self.commit(id, arrived).await,
             Statement::Read { .. } | Statement::Write { .. } | Statement::Execute { .. } => {
@@ -200,12 +200,12 @@
         }
     }
 
-    async fn begin(&mut self, is_read_only: bool, arrived: Time) -> Reply {
+    async fn begin(&mut self, id: &Arc<str>, is_read_only: bool, arrived: Time) -> Reply {
         if self.transaction.is_some() {
             let failure = Failure::new(Code::Malformed, "a transaction is open");
             return Reply::failed(failure, self.state());
         }
-        let route = match self.admit().await {
+        let route = match self.admit(id).await {
             Ok(route) => route,
             Err(failure) => return Reply::failed(failure, State::Idle),
         };
@@ -275,7 +275,7 @@
             self.transaction = Some(transaction);
             return reply;
         }
-        let route = match self.admit().await {
+        let route = match self.admit(id).await {
             Ok(route) => route,
             Err(failure) => return Reply::failed(failure, State::Idle),
         };
@@ -347,11 +347,11 @@
     }
 
     /// Checks the caller's key and rate limit for a new operation and returns the current route.
-    async fn admit(&self) -> Result<Arc<Route>, Failure> {
+    async fn admit(&self, id: &Arc<str>) -> Result<Arc<Route>, Failure> {
         let route = self.node.route(&self.database)?;
         self.node.check_key(&self.account, &self.key, &route)?;
         if !route.is_public {
-            self.node.take_token(&self.account).await?;
+            self.node.take_token(&self.account, id, &route).await?;
         }
         Ok(route)
     }
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -473,3 +473,33 @@
     assert_eq!(codes.last(), Some(&Some(Code::NoAccess)), "{codes:?}");
     assert_eq!(world.group.writes("x"), 1, "{codes:?}");
 }
+
+/// Guards against refusals that come after a wait, and against refused callers that return together.
+#[tokio::test(start_paused = true)]
+async fn an_account_over_its_rate_is_refused_at_once_and_its_callers_return_apart() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut next = revision(2);
+    let shop = next.accounts.get_mut("shop").expect("an account");
+    shop.limit = account::rate::Limit { rate: 4, burst: 4 };
+    world.set_revision(next);
+    sleep(Duration::from_millis(100)).await;
+    let mut client = instance.connect("orders").await;
+    let mut times = Vec::new();
+    for _ in 0..40 {
+        let begun = tokio::time::Instant::now();
+        let Err(failure) = client.read("x").await else {
+            continue;
+        };
+        // A quarter of the route's target of 200 ms.
+        assert!(begun.elapsed() <= Duration::from_millis(50));
+        let (_, after) = failure
+            .text
+            .split_once("retry-after-ms=")
+            .expect("it says when to return");
+        times.push(after.parse::<u64>().expect("milliseconds"));
+    }
+    assert!(times.len() >= 20, "{times:?}");
+    // Four requests a second are granted, so the last of 20 has several seconds to wait.
+    assert!(times.last() >= Some(&3_000), "{times:?}");
+}
