Tell refused requests when the queue will have room

Cause: every request refused under overload was told to return after 500 ms, so that all callers refused in one moment returned in one moment.

Change: relay::schedule::Forecast, without I/O, measures how long a statement uses a connection and gives each refused request its own place after the queue and after those refused before it, with a jitter by request id of less than a place. If that is later than the request's time limit, the request is spread over the time that is left. Refusals are counted under the reason overload.

Tests: schedule::callers_refused_together_return_at_the_rate_of_the_slots, in_a_long_overload_all_return_within_their_time_limit_and_spread, the_return_follows_the_measured_service_time, after_the_overload_a_request_returns_as_soon_as_there_is_room; pool::refused_requests_return_one_after_another.

--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the relay.
 
+use clock::Span;
 use snafu::Snafu;
 
 use crate::message::Code;
@@ -45,6 +46,8 @@
         step: &'static str,
         /// The peer.
         peer: String,
+        /// When the queue is expected to have room.
+        retry_after: Span,
     },
     /// The peer did not answer in time.
     #[snafu(display("{step} at {peer}: no answer in time"))]
--- a/crates/relay/src/pool/admission.rs
+++ b/crates/relay/src/pool/admission.rs
@@ -12,6 +12,8 @@
     pub max_queue_age: Span,
     /// When the request must be answered.
     pub deadline: Instant,
+    /// A number that differs between requests, which spreads the times at which they return.
+    pub salt: u64,
 }
 
 impl Admission {
@@ -20,11 +22,12 @@
     /// Queueing for at most half of the target leaves time for the statement itself. Refusing
     /// once the queue is a quarter of the target old reports an overload while a retry can still
     /// meet the target.
-    pub fn for_target(target: Span, deadline: Instant) -> Self {
+    pub fn for_target(target: Span, deadline: Instant, salt: u64) -> Self {
         Self {
             max_wait: Span::from_micros(target.as_micros() / 2),
             max_queue_age: Span::from_micros(target.as_micros() / 4),
             deadline,
+            salt,
         }
     }
 }
--- a/crates/relay/src/pool/permit.rs
+++ b/crates/relay/src/pool/permit.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use clock::Time;
+
 use crate::pool::Pool;
 
 /// A permit for one connection to a server; dropping it releases the permit.
@@ -9,6 +11,8 @@
     pool: Arc<Pool>,
     /// The account that uses the connection or for which it is being opened.
     busy_for: Option<Arc<str>>,
+    /// Since when it does.
+    busy_since: Time,
 }
 
 impl Permit {
@@ -17,12 +21,14 @@
         Self {
             pool: Arc::clone(pool),
             busy_for: None,
+            busy_since: Time::ZERO,
         }
     }
 
     /// Records that the pool already counts the connection as in use by an account.
     pub(super) fn mark_busy(&mut self, account: &Arc<str>) {
         self.busy_for = Some(Arc::clone(account));
+        self.busy_since = self.pool.clock.now();
     }
 
     /// Marks the connection as in use by an account.
@@ -35,7 +41,7 @@
     /// Marks the connection as idle.
     pub(super) fn set_idle(&mut self) {
         if let Some(account) = self.busy_for.take() {
-            self.pool.on_free(&account);
+            self.pool.on_free(&account, self.busy_since);
         }
     }
 
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -25,6 +25,7 @@
 use crate::pool::queue::Grant;
 use crate::pool::queue::Queue;
 use crate::pool::queue::Waiter;
+use crate::schedule::Overload;
 
 /// Time limit for opening a connection; the server needs 10 to 30 ms of a free slot for it.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
@@ -126,7 +127,7 @@
         priority: u32,
         admission: Admission,
     ) -> Result<Connection, Error> {
-        let grant = match self.take_or_enqueue(account, priority, admission.max_queue_age)? {
+        let grant = match self.take_or_enqueue(account, priority, &admission)? {
             Acquisition::Ready(grant) => grant,
             Acquisition::Queued(receiver) => {
                 let until = admission
@@ -135,7 +136,11 @@
                 match timeout_at(until, receiver).await {
                     Ok(Ok(grant)) => grant,
                     Ok(Err(_)) => return Err(self.unavailable()),
-                    Err(_) => return Err(self.overloaded()),
+                    Err(_) => {
+                        let now = self.clock.now();
+                        let mut queue = lock(&self.queue);
+                        return Err(self.overloaded(now, &mut queue, priority, &admission));
+                    }
                 }
             }
         };
@@ -212,8 +217,14 @@
     }
 
     /// Counts a connection of an account as no longer in use.
-    pub(super) fn on_free(&self, account: &Arc<str>) {
-        lock(&self.queue).on_free(account);
+    pub(super) fn on_free(&self, account: &Arc<str>, busy_since: Time) {
+        let used = self.clock.now().since(busy_since);
+        let mut queue = lock(&self.queue);
+        queue.on_free(account);
+        // A grant to a request that had left was not used at all.
+        if used > Span::ZERO {
+            queue.forecast.on_served(used);
+        }
     }
 
     /// Releases a permit.
@@ -275,7 +286,7 @@
         self: &Arc<Self>,
         account: &Arc<str>,
         priority: u32,
-        max_queue_age: Span,
+        admission: &Admission,
     ) -> Result<Acquisition, Error> {
         let now = self.clock.now();
         let mut queue = lock(&self.queue);
@@ -285,8 +296,8 @@
         // The oldest request predicts how long a new one would queue.
         queue.usage.on_use();
         let oldest = queue.oldest_wait(priority);
-        if oldest.is_some_and(|since| now >= since + max_queue_age) {
-            return Err(self.overloaded());
+        if oldest.is_some_and(|since| now >= since + admission.max_queue_age) {
+            return Err(self.overloaded(now, &mut queue, priority, admission));
         }
         let has_free_slot = queue.waiters.is_empty() && queue.running() < queue.statement_limit;
         let is_claimable = queue.idle_for(account).is_some() || !queue.is_worth_waiting(account);
@@ -348,10 +359,25 @@
         Err(failure)
     }
 
-    fn overloaded(&self) -> Error {
+    fn overloaded(
+        &self,
+        now: Time,
+        queue: &mut Queue,
+        priority: u32,
+        admission: &Admission,
+    ) -> Error {
+        let time_left = admission.deadline.saturating_duration_since(Instant::now());
+        let overload = Overload {
+            waiting: queue.waiting_before(priority),
+            slots: queue.statement_limit.min(queue.connection_limit),
+            max_queue_age: admission.max_queue_age,
+            time_left: time_left.into(),
+            salt: admission.salt,
+        };
         Error::Overloaded {
             step: "wait for a connection",
             peer: self.target.server.to_string(),
+            retry_after: queue.forecast.retry_after(now, &overload),
         }
     }
 
--- a/crates/relay/src/pool/queue.rs
+++ b/crates/relay/src/pool/queue.rs
@@ -10,6 +10,7 @@
 use crate::pool::Connection;
 use crate::pool::Permit;
 use crate::pool::Usage;
+use crate::schedule::Forecast;
 
 /// Initial limit on connections and statements, until the instance's share is known.
 const INITIAL_LIMIT: usize = 2;
@@ -56,6 +57,8 @@
     pub is_closed: bool,
     /// How often connections are requested.
     pub usage: Usage,
+    /// When the queue has room for refused requests.
+    pub forecast: Forecast,
 }
 
 impl Queue {
@@ -71,6 +74,7 @@
             next_sequence: 0,
             is_closed: false,
             usage: Usage::default(),
+            forecast: Forecast::open(),
         }
     }
 
@@ -132,6 +136,14 @@
             .min()
     }
 
+    /// Returns the number of requests that wait and go before a new one of `priority`.
+    pub fn waiting_before(&self, priority: u32) -> usize {
+        self.waiters
+            .range(..(priority + 1, 0))
+            .filter(|(_, waiter)| !waiter.sender.is_closed())
+            .count()
+    }
+
     /// Removes and returns the connections that have been idle for `timeout`.
     pub fn take_idle_since(&mut self, now: Time, timeout: Option<Span>) -> Vec<Connection> {
         let Some(timeout) = timeout else {
--- a/crates/relay/src/schedule/mod.rs
+++ b/crates/relay/src/schedule/mod.rs
@@ -2,8 +2,12 @@
 //!
 //! The module does no I/O, starts no task and reads no clock.
 
+mod forecast;
+mod overload;
 mod reason;
 mod salt;
 
+pub use forecast::Forecast;
+pub use overload::Overload;
 pub use reason::Reason;
 pub use salt::salt;
--- a/crates/relay/src/schedule/reason.rs
+++ b/crates/relay/src/schedule/reason.rs
@@ -6,4 +6,6 @@
 pub enum Reason {
     /// The account's rate is used up.
     Rate,
+    /// The servers' queues have no room for it.
+    Overload,
 }
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Span;
 use clock::Time;
 use endpoint::Position;
 use tokio::time::Instant;
@@ -20,6 +21,7 @@
 use crate::node::Node;
 use crate::pool::Admission;
 use crate::pool::Connection;
+use crate::schedule;
 use crate::settings::Route;
 
 /// A read, write or commit of a session, with its execution context.
@@ -117,7 +119,8 @@
 
     /// Returns the limits on queueing for a connection.
     pub fn admission(&self) -> Admission {
-        Admission::for_target(self.route.target_latency, self.deadline)
+        let salt = schedule::salt(self.id);
+        Admission::for_target(self.route.target_latency, self.deadline, salt)
     }
 
     /// Returns whether the deadline has passed.
@@ -146,7 +149,10 @@
     /// Another server or a later attempt may succeed.
     Retryable(String),
     /// The server has more statements queued than it can answer in time.
-    Overloaded,
+    Overloaded {
+        /// When its queue is expected to have room.
+        retry_after: Span,
+    },
     /// The failure is final.
     Final(Failure),
 }
@@ -154,7 +160,7 @@
 impl From<Error> for Refusal {
     fn from(error: Error) -> Self {
         match error {
-            Error::Overloaded { .. } => Self::Overloaded,
+            Error::Overloaded { retry_after, .. } => Self::Overloaded { retry_after },
             other => Self::Retryable(other.to_string()),
         }
     }
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use clock::Span;
 use clock::Time;
 use endpoint::Position;
 
@@ -18,6 +19,7 @@
 use crate::message::Statement;
 use crate::node::lock;
 use crate::pool::Connection;
+use crate::schedule::Reason;
 use crate::session::Job;
 use crate::session::Refusal;
 use crate::settings::Freshness;
@@ -88,7 +90,7 @@
 /// Runs a read; since it changes nothing, it may be retried at other servers.
 pub async fn run(job: &Job<'_>) -> Reply {
     let mut tried = BTreeSet::new();
-    let mut is_overloaded = false;
+    let mut overload: Option<Span> = None;
     loop {
         if job.is_expired() {
             return refused(job, "no server could take the read in time");
@@ -101,8 +103,8 @@
                 if let Some(failure) = failure {
                     return Reply::failed(failure, State::Idle);
                 }
-                if is_overloaded {
-                    return refused(job, OVERLOADED);
+                if let Some(retry_after) = overload {
+                    return Reply::failed(overloaded(job, retry_after), State::Idle);
                 }
                 tried.clear();
                 job.wait_for_change(RETRY_DELAY).await;
@@ -112,9 +114,9 @@
         match attempt(job, &server, floor).await {
             Ok(reply) => return reply,
             Err(Refusal::Final(failure)) => return Reply::failed(failure, State::Idle),
-            Err(Refusal::Overloaded) => {
+            Err(Refusal::Overloaded { retry_after }) => {
                 job.log_attempt(&server.name, &OVERLOADED);
-                is_overloaded = true;
+                overload = Some(overload.map_or(retry_after, |other| other.min(retry_after)));
                 tried.insert(Arc::clone(&server.name));
             }
             Err(Refusal::Retryable(why)) => {
@@ -260,6 +262,12 @@
     Failure::not_run(why, job.node.options.retry_after)
 }
 
+/// Returns the failure of a statement for which the servers' queues had no room.
+pub fn overloaded(job: &Job<'_>, retry_after: Span) -> Failure {
+    job.node.metrics.refused(Reason::Overload);
+    Failure::not_run(OVERLOADED, retry_after)
+}
+
 /// Returns the reply to a statement outside a transaction that did not run.
 pub fn refused(job: &Job<'_>, why: &str) -> Reply {
     Reply::failed(not_run(job, why), State::Idle)
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Span;
 use clock::Time;
 use endpoint::Position;
 
@@ -197,7 +198,7 @@
     /// Begins the transaction at a server.
     async fn begin(&mut self, job: &Job<'_>) -> Result<(), Failure> {
         let mut tried = BTreeSet::new();
-        let mut is_overloaded = false;
+        let mut overload: Option<Span> = None;
         let may_use_replica = self.is_read_only && job.route.freshness != Freshness::Latest;
         loop {
             if job.is_expired() {
@@ -220,8 +221,8 @@
                 read::Destination::Server(server, floor) => (server, Some(floor)),
                 read::Destination::Leader(server) => (server, None),
                 read::Destination::Unavailable => {
-                    if is_overloaded {
-                        return Err(read::not_run(job, read::OVERLOADED));
+                    if let Some(retry_after) = overload {
+                        return Err(read::overloaded(job, retry_after));
                     }
                     tried.clear();
                     job.wait_for_change(RETRY_DELAY).await;
@@ -234,12 +235,12 @@
                     return Ok(());
                 }
                 Err(Refusal::Final(failure)) => return Err(failure),
-                Err(Refusal::Overloaded) if !may_use_replica => {
-                    return Err(read::not_run(job, read::OVERLOADED));
+                Err(Refusal::Overloaded { retry_after }) if !may_use_replica => {
+                    return Err(read::overloaded(job, retry_after));
                 }
-                Err(Refusal::Overloaded) => {
+                Err(Refusal::Overloaded { retry_after }) => {
                     job.log_attempt(&server.name, &read::OVERLOADED);
-                    is_overloaded = true;
+                    overload = Some(overload.map_or(retry_after, |other| other.min(retry_after)));
                     tried.insert(Arc::clone(&server.name));
                 }
                 Err(Refusal::Retryable(why)) => {
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -10,8 +10,8 @@
 use crate::message::Reply;
 use crate::message::State;
 use crate::session::Job;
-use crate::session::read::OVERLOADED;
 use crate::session::read::cut_off_failure;
+use crate::session::read::overloaded;
 use crate::session::read::refused;
 
 /// Delay before a write that did not run is retried.
@@ -51,7 +51,10 @@
 async fn attempt(job: &Job<'_>, server: &Arc<Server>) -> Attempt {
     let mut connection = match job.acquire(server).await {
         Ok(connection) => connection,
-        Err(Error::Overloaded { .. }) => return Attempt::Answer(refused(job, OVERLOADED)),
+        Err(Error::Overloaded { retry_after, .. }) => {
+            let failure = overloaded(job, retry_after);
+            return Attempt::Answer(Reply::failed(failure, State::Idle));
+        }
         Err(error) => return Attempt::NotRun(error.to_string()),
     };
     if let Err(fault) = job.sync_session(&mut connection, None).await {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod replacement;
 mod reports;
+mod schedule;
 mod sessions;
 mod settings_schedule;
 mod shares;
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -38,6 +38,7 @@
         max_wait: Span::from_millis(100),
         max_queue_age: Span::from_millis(100),
         deadline: Instant::now() + Duration::from_secs(10),
+        salt: 0,
     }
 }
 
@@ -278,3 +279,32 @@
     transaction.release();
     assert!(pool.acquire(&account("y"), 1, admission()).await.is_ok());
 }
+
+/// Guards against a retry-after time that is the same for all refused callers.
+#[tokio::test(start_paused = true)]
+async fn refused_requests_return_one_after_another() {
+    let pool = open(1);
+    let _connection = pool
+        .acquire(&account("x"), 1, admission())
+        .await
+        .expect("room");
+    let waiting = tokio::spawn({
+        let pool = Arc::clone(&pool);
+        async move { pool.acquire(&account("x"), 1, admission()).await.is_ok() }
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let strict = Admission {
+        max_queue_age: Span::from_millis(30),
+        ..admission()
+    };
+    let mut times = Vec::new();
+    for _ in 0..10 {
+        let refused = pool.acquire(&account("y"), 1, strict).await;
+        let Err(relay::Error::Overloaded { retry_after, .. }) = refused else {
+            panic!("the queue is too old");
+        };
+        times.push(retry_after);
+    }
+    assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
+    assert!(!waiting.await.expect("no panic"));
+}
