Share a server's slots among kinds and accounts

Cause: the queue in front of a server was strict priority, then age. While more urgent requests kept coming, the least urgent kind got nothing, and the requests of all accounts waited behind those of one that floods.

Change: relay::schedule::Order, without I/O, chooses the next request: the kinds share by weight of priority and by how much of its wait a request has used up, and in a kind the accounts share the expected server time, which is measured for each account. The order with one kind and one account, the preference for idle connections and REUSE_STREAK_MAX are as before. Requests whose callers have left are dropped before each choice.

Tests: schedule::one_account_and_kind_is_served_in_the_order_of_arrival, a_flood_of_one_account_does_not_delay_the_others, accounts_share_server_time_rather_than_statements, a_burst_of_an_urgent_kind_starves_no_other.

--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -224,6 +224,7 @@
         // A grant to a request that had left was not used at all.
         if used > Span::ZERO {
             queue.forecast.on_served(used);
+            queue.order.on_served(account, used);
         }
     }
 
@@ -253,10 +254,11 @@
         if queue.running() >= queue.statement_limit {
             return None;
         }
+        let now = self.clock.now();
         let key = queue.next_waiter()?;
         let account = Arc::clone(&queue.waiters.get(&key)?.account);
         let claim = queue.claim(&account)?;
-        let waiter = queue.waiters.remove(&key)?;
+        let waiter = queue.take(now, key)?;
         queue.on_busy(&account);
         drop(queue);
         Some((waiter, self.grant(claim, &account)))
@@ -309,7 +311,8 @@
             drop(queue);
             return Ok(Acquisition::Ready(self.grant(claim, account)));
         }
-        Ok(Acquisition::Queued(queue.enqueue(now, account, priority)))
+        let receiver = queue.enqueue(now, account, priority, admission.max_wait);
+        Ok(Acquisition::Queued(receiver))
     }
 
     /// Returns whether an idle connection can be used.
--- a/crates/relay/src/pool/queue.rs
+++ b/crates/relay/src/pool/queue.rs
@@ -10,7 +10,9 @@
 use crate::pool::Connection;
 use crate::pool::Permit;
 use crate::pool::Usage;
+use crate::schedule::Entry;
 use crate::schedule::Forecast;
+use crate::schedule::Order;
 
 /// Initial limit on connections and statements, until the instance's share is known.
 const INITIAL_LIMIT: usize = 2;
@@ -33,10 +35,25 @@
     pub account: Arc<str>,
     /// When it was queued.
     pub since: Time,
+    /// The longest time that it may wait.
+    pub max_wait: Span,
     /// Receives its grant.
     pub sender: oneshot::Sender<Grant>,
 }
 
+impl Waiter {
+    /// Returns the request as the order sees it.
+    fn entry(&self, (priority, sequence): (u32, u64)) -> Entry<'_> {
+        Entry {
+            sequence,
+            priority,
+            account: &self.account,
+            since: self.since,
+            max_wait: self.max_wait,
+        }
+    }
+}
+
 /// The queue of requests for connections to one server, and its idle connections.
 pub struct Queue {
     /// The maximum number of connections.
@@ -59,6 +76,8 @@
     pub usage: Usage,
     /// When the queue has room for refused requests.
     pub forecast: Forecast,
+    /// The order in which queued requests are granted.
+    pub order: Order,
 }
 
 impl Queue {
@@ -75,6 +94,7 @@
             is_closed: false,
             usage: Usage::default(),
             forecast: Forecast::open(),
+            order: Order::open(),
         }
     }
 
@@ -103,18 +123,21 @@
 
     /// Returns the key of the request to grant next.
     ///
-    /// It is the oldest one of the most urgent priority, unless another one of that priority can
-    /// reuse an idle connection whose streak is below `REUSE_STREAK_MAX`.
+    /// It is the first one in `schedule::Order`, unless another one of its kind can reuse an idle
+    /// connection whose streak is below `REUSE_STREAK_MAX`.
     pub fn next_waiter(&mut self) -> Option<(u32, u64)> {
-        let (first, oldest) = self.waiters.first_key_value()?;
-        let first = *first;
-        if self.idle_for(&oldest.account).is_some() {
+        self.waiters.retain(|_, waiter| !waiter.sender.is_closed());
+        let entries = self.waiters.iter().map(|(key, waiter)| waiter.entry(*key));
+        let sequence = self.order.next(entries)?;
+        let mut keys = self.waiters.keys();
+        let first = *keys.find(|(_, other)| *other == sequence)?;
+        if self.idle_for(&self.waiters[&first].account).is_some() {
             return Some(first);
         }
+        let kind = (first.0, 0)..=(first.0, u64::MAX);
         let preferred = self
             .waiters
-            .iter()
-            .take_while(|((priority, _), _)| *priority == first.0)
+            .range(kind)
             .find_map(|(key, waiter)| Some((*key, self.idle_for(&waiter.account)?)));
         let Some((key, index)) = preferred else {
             return Some(first);
@@ -128,6 +151,13 @@
         Some(first)
     }
 
+    /// Removes the request that is granted a connection now.
+    pub fn take(&mut self, now: Time, key: (u32, u64)) -> Option<Waiter> {
+        let waiter = self.waiters.remove(&key)?;
+        self.order.on_granted(now, &waiter.entry(key));
+        Some(waiter)
+    }
+
     /// Returns when the oldest request that goes before a new one of `priority` was queued.
     pub fn oldest_wait(&self, priority: u32) -> Option<Time> {
         self.waiters
@@ -163,11 +193,13 @@
         now: Time,
         account: &Arc<str>,
         priority: u32,
+        max_wait: Span,
     ) -> oneshot::Receiver<Grant> {
         let (sender, receiver) = oneshot::channel();
         let waiter = Waiter {
             account: Arc::clone(account),
             since: now,
+            max_wait,
             sender,
         };
         self.waiters.insert((priority, self.next_sequence), waiter);
--- a/crates/relay/tests/relay/schedule.rs
+++ b/crates/relay/tests/relay/schedule.rs
@@ -1,8 +1,13 @@
 //! Tests of the decisions on waiting and admission, without a network.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use clock::Span;
 use clock::Time;
+use relay::schedule::Entry;
 use relay::schedule::Forecast;
+use relay::schedule::Order;
 use relay::schedule::Overload;
 use relay::schedule::salt;
 
@@ -94,3 +99,123 @@
     let later = forecast.retry_after(at(5_000), &empty);
     assert!(later <= Span::from_millis(10), "{later}");
 }
+
+/// Requests that wait for one slot, without a network.
+struct Replay {
+    order: Order,
+    /// The priority, account and arrival of each waiting request, by its number.
+    waiting: BTreeMap<u64, (u32, Arc<str>, Time)>,
+    next: u64,
+}
+
+impl Replay {
+    fn open() -> Self {
+        Self {
+            order: Order::open(),
+            waiting: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    fn arrive(&mut self, now: Time, priority: u32, account: &str) {
+        let request = (priority, Arc::from(account), now);
+        self.waiting.insert(self.next, request);
+        self.next += 1;
+    }
+
+    /// Serves the next request for `used` and returns it.
+    fn serve(&mut self, now: Time, used: Span) -> (u64, u32, Arc<str>) {
+        let entry =
+            |(sequence, request): (&u64, &(u32, Arc<str>, Time))| (*sequence, request.clone());
+        let mut waiting: Vec<_> = self.waiting.iter().map(entry).collect();
+        waiting.sort_by_key(|(sequence, (priority, ..))| (*priority, *sequence));
+        let entries: Vec<Entry<'_>> = waiting
+            .iter()
+            .map(|(sequence, (priority, account, since))| Entry {
+                sequence: *sequence,
+                priority: *priority,
+                account,
+                since: *since,
+                max_wait: Span::from_millis(500),
+            })
+            .collect();
+        let chosen = self.order.next(entries.iter().copied());
+        let chosen = chosen.expect("a request waits");
+        let served = entries.iter().find(|entry| entry.sequence == chosen);
+        self.order.on_granted(now, served.expect("it waits"));
+        let (priority, account, _) = self.waiting.remove(&chosen).expect("it waits");
+        self.order.on_served(&account, used);
+        (chosen, priority, account)
+    }
+}
+
+/// Guards existing deployments: with one kind and one account, first come, first served.
+#[test]
+fn one_account_and_kind_is_served_in_the_order_of_arrival() {
+    let mut replay = Replay::open();
+    (0..50).for_each(|index| replay.arrive(at(index), 1, "a"));
+    let served: Vec<u64> = (0..50)
+        .map(|index| {
+            let used = Span::from_millis(5 + index % 40);
+            replay.serve(at(50 + index), used).0
+        })
+        .collect();
+    assert!(served.is_sorted(), "{served:?}");
+}
+
+/// Replays a flood of one account: the others must not wait behind it.
+#[test]
+fn a_flood_of_one_account_does_not_delay_the_others() {
+    let mut replay = Replay::open();
+    (0..200).for_each(|_| replay.arrive(at(0), 1, "flood"));
+    for round in 0..20 {
+        let now = at(round * 100);
+        for account in ["a", "b", "c"] {
+            replay.arrive(now, 1, account);
+        }
+        let served: Vec<Arc<str>> = (0..5)
+            .map(|_| replay.serve(now, Span::from_millis(20)).2)
+            .collect();
+        for account in ["a", "b", "c"] {
+            assert!(served.iter().any(|name| **name == *account), "{served:?}");
+        }
+    }
+}
+
+/// Replays accounts with short and long statements: they get the same server time.
+#[test]
+fn accounts_share_server_time_rather_than_statements() {
+    let mut replay = Replay::open();
+    (0..400).for_each(|_| replay.arrive(at(0), 1, "short"));
+    (0..400).for_each(|_| replay.arrive(at(0), 1, "long"));
+    let mut used = BTreeMap::new();
+    for _ in 0..300 {
+        let (_, _, account) = replay.serve(at(1), Span::ZERO);
+        let span = if &*account == "short" { 10 } else { 40 };
+        for _ in 0..40 {
+            replay.order.on_served(&account, Span::from_millis(span));
+        }
+        *used.entry(account).or_insert(0) += span;
+    }
+    let (short, long) = (used["short"], used["long"]);
+    assert!(short * 10 >= long * 8 && long * 10 >= short * 8, "{used:?}");
+}
+
+/// Replays a burst of an urgent kind: the least urgent kind goes on, and the urgent one gets most.
+#[test]
+fn a_burst_of_an_urgent_kind_starves_no_other() {
+    let mut replay = Replay::open();
+    for _ in 0..400 {
+        for priority in 0..3 {
+            replay.arrive(at(0), priority, "a");
+        }
+    }
+    let mut counts = [0; 3];
+    for index in 0..210 {
+        let (_, priority, _) = replay.serve(at(index), Span::from_millis(20));
+        counts[usize::try_from(priority).expect("small")] += 1;
+    }
+    assert!(counts[0] >= 120, "{counts:?}");
+    assert!(counts[0] > counts[1] && counts[1] > counts[2], "{counts:?}");
+    assert!(counts[2] >= 8, "the least urgent kind starves: {counts:?}");
+}
