Refuse at arrival what can't get its turn in time

Cause: a request was queued whenever the oldest one ahead had waited less than a quarter of the target, then refused after half of its target, however long the queue was; and one account's old queue had the requests of all accounts refused.

Change: the wait is predicted from the measured server times, the slots and the work that goes before the request in schedule::Order. A request that is not expected to get its turn within its wait is refused at once. The age of the queue refuses a request only if it is its own account's, or if the expected wait is as long. Before 16 measurements the age alone decides, as before.

Tests: schedule::the_work_ahead_is_that_of_the_own_share, pool::a_flood_is_refused_at_once_and_a_quiet_account_is_not.

--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -295,10 +295,8 @@
         if queue.is_closed {
             return Err(self.unavailable());
         }
-        // The oldest request predicts how long a new one would queue.
         queue.usage.on_use();
-        let oldest = queue.oldest_wait(priority);
-        if oldest.is_some_and(|since| now >= since + admission.max_queue_age) {
+        if queue.is_hopeless(now, account, priority, admission) {
             return Err(self.overloaded(now, &mut queue, priority, admission));
         }
         let has_free_slot = queue.waiters.is_empty() && queue.running() < queue.statement_limit;
--- a/crates/relay/src/pool/queue.rs
+++ b/crates/relay/src/pool/queue.rs
@@ -6,7 +6,9 @@
 use clock::Span;
 use clock::Time;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
+use crate::pool::Admission;
 use crate::pool::Connection;
 use crate::pool::Permit;
 use crate::pool::Usage;
@@ -162,10 +164,59 @@
     pub fn oldest_wait(&self, priority: u32) -> Option<Time> {
         self.waiters
             .range(..(priority + 1, 0))
+            .filter(|(_, waiter)| !waiter.sender.is_closed())
             .map(|(_, waiter)| waiter.since)
             .min()
     }
 
+    /// Returns whether a new request has no chance to be served within its limits.
+    ///
+    /// It has none if it is not expected to be served within its wait, or if the queue is too old:
+    /// its own account's, or that of any request before it unless the forecast shows that the new
+    /// one passes that, as when another account floods the queue.
+    pub fn is_hopeless(
+        &self,
+        now: Time,
+        account: &Arc<str>,
+        priority: u32,
+        admission: &Admission,
+    ) -> bool {
+        let is_old = |since: Time| now >= since + admission.max_queue_age;
+        let own = self
+            .waiters
+            .range((priority, 0)..=(priority, u64::MAX))
+            .find(|(_, waiter)| waiter.account == *account && !waiter.sender.is_closed());
+        if own.is_some_and(|(_, waiter)| is_old(waiter.since)) {
+            return true;
+        }
+        let is_any_old = self.oldest_wait(priority).is_some_and(is_old);
+        if self.running() < self.statement_limit && !is_any_old {
+            return false;
+        }
+        let new = Entry {
+            sequence: self.next_sequence,
+            priority,
+            account,
+            since: now,
+            max_wait: admission.max_wait,
+        };
+        let waiting = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| !waiter.sender.is_closed())
+            .map(|(key, waiter)| waiter.entry(*key));
+        let work = self.order.work_ahead(now, waiting, &new);
+        let slots = self.statement_limit.min(self.connection_limit);
+        match self.forecast.wait(work, slots) {
+            Some(wait) => {
+                let left = admission.deadline.saturating_duration_since(Instant::now());
+                let limit = admission.max_wait.min(left.into());
+                wait > limit || (is_any_old && wait >= admission.max_queue_age)
+            }
+            None => is_any_old,
+        }
+    }
+
     /// Returns the number of requests that wait and go before a new one of `priority`.
     pub fn waiting_before(&self, priority: u32) -> usize {
         self.waiters
--- a/crates/relay/src/schedule/forecast.rs
+++ b/crates/relay/src/schedule/forecast.rs
@@ -11,6 +11,9 @@
 /// Weight of the former average against one measurement. An average over about 16 statements
 /// follows a change within a quarter of a second at 60 statements a second.
 const SERVICE_WEIGHT: u64 = 15;
+/// Measurements from which on waits are predicted; before, the prior would refuse requests that a
+/// fast server could answer.
+const SERVICE_MEASURED: u64 = SERVICE_WEIGHT + 1;
 /// Number of steps in which the jitter of a return is spread.
 const JITTER_STEPS: u64 = 1_024;
 
@@ -22,6 +25,8 @@
 pub struct Forecast {
     /// Moving average of the time that a statement uses a connection.
     service: Span,
+    /// The number of measurements, up to `SERVICE_MEASURED`.
+    measured: u64,
     /// The latest place that was given to a refused request.
     last_place: Time,
 }
@@ -31,6 +36,7 @@
     pub fn open() -> Self {
         Self {
             service: SERVICE_PRIOR,
+            measured: 0,
             last_place: Time::ZERO,
         }
     }
@@ -40,6 +46,17 @@
         let sum = self.service.as_micros().saturating_mul(SERVICE_WEIGHT);
         let sum = sum.saturating_add(used.as_micros());
         self.service = Span::from_micros(sum / (SERVICE_WEIGHT + 1));
+        self.measured = SERVICE_MEASURED.min(self.measured + 1);
+    }
+
+    /// Returns how long a request is expected to wait behind `work`; `None` before there are enough
+    /// measurements.
+    pub fn wait(&self, work: Span, slots: usize) -> Option<Span> {
+        if self.measured < SERVICE_MEASURED {
+            return None;
+        }
+        let count = u64::try_from(slots.max(1)).unwrap_or(u64::MAX);
+        Some(Span::from_micros(work.as_micros() / count) + self.spacing(slots))
     }
 
     /// Returns the average time between two slots that become free.
--- a/crates/relay/src/schedule/order.rs
+++ b/crates/relay/src/schedule/order.rs
@@ -123,6 +123,54 @@
             .charge(entry.account, cost);
     }
 
+    /// Returns the server time of the waiting requests that go before a new one.
+    pub fn work_ahead<'a>(
+        &self,
+        now: Time,
+        waiting: impl Iterator<Item = Entry<'a>>,
+        new: &Entry<'_>,
+    ) -> Span {
+        let mut own = 0_u64;
+        let mut others: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+        let mut kinds: BTreeMap<u32, (Entry<'a>, u64)> = BTreeMap::new();
+        for entry in waiting {
+            let cost = self.cost(entry.account);
+            if entry.priority != new.priority {
+                let (_, sum) = kinds.entry(entry.priority).or_insert((entry, 0));
+                *sum = sum.saturating_add(cost);
+            } else if *entry.account == *new.account {
+                own = own.saturating_add(cost);
+            } else {
+                let sum = others.entry(entry.account).or_default();
+                *sum = sum.saturating_add(cost);
+            }
+        }
+        // Another account goes first until it has received as much as the own one then will have.
+        let until = self.received(new.priority, new.account).saturating_add(own);
+        let mut work = own;
+        for (account, sum) in others {
+            let received = self.received(new.priority, account);
+            if received <= until {
+                let part = (until - received).saturating_add(self.cost(account));
+                work = work.saturating_add(part.min(sum));
+            }
+        }
+        // So does another kind, by weight.
+        let until = self.kinds.get(&new.priority);
+        let until = until.saturating_add(scaled(work) / weight(now, new));
+        let mut total = work;
+        for (priority, (oldest, sum)) in kinds {
+            let received = self.kinds.get(&priority);
+            if received < until || (received == until && priority < new.priority) {
+                let weight = weight(now, &oldest);
+                let part = (until - received) / (scaled(1) / weight);
+                let part = part.saturating_add(self.cost(oldest.account));
+                total = total.saturating_add(part.min(sum));
+            }
+        }
+        Span::from_micros(total)
+    }
+
     fn received(&self, priority: u32, account: &Arc<str>) -> u64 {
         let shares = self.accounts.get(&priority);
         shares.map_or(0, |shares| shares.get(account))
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -308,3 +308,49 @@
     assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
     assert!(!waiting.await.expect("no panic"));
 }
+
+/// Guards against refusals that come only after the whole wait although they are certain at once,
+/// and against refusing a quiet account because of another one's queue.
+#[tokio::test(start_paused = true)]
+async fn a_flood_is_refused_at_once_and_a_quiet_account_is_not() {
+    let pool = open(1);
+    for _ in 0..20 {
+        let connection = pool.acquire(&account("x"), 1, admission()).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        connection.expect("room").release();
+    }
+    let connection = pool.acquire(&account("x"), 1, admission()).await;
+    let connection = connection.expect("room");
+    let begun = Instant::now();
+    let mut flood = Vec::new();
+    for _ in 0..20 {
+        let pool = Arc::clone(&pool);
+        flood.push(tokio::spawn(async move {
+            let granted = pool.acquire(&account("x"), 1, admission()).await;
+            let waited = begun.elapsed();
+            if let Ok(connection) = &granted {
+                assert_eq!(&*connection.account, "x");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            (granted.is_ok(), waited)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    let quiet = tokio::spawn({
+        let pool = Arc::clone(&pool);
+        async move { pool.acquire(&account("q"), 1, admission()).await.is_ok() }
+    });
+    tokio::time::sleep(Duration::from_millis(19)).await;
+    connection.release();
+    assert!(
+        quiet.await.expect("no panic"),
+        "the quiet account is served"
+    );
+    for task in flood {
+        let (is_granted, waited) = task.await.expect("no panic");
+        assert!(
+            is_granted || waited <= Duration::from_millis(1),
+            "refused after {waited:?}"
+        );
+    }
+}
--- a/crates/relay/tests/relay/schedule.rs
+++ b/crates/relay/tests/relay/schedule.rs
@@ -219,3 +219,32 @@
     assert!(counts[0] > counts[1] && counts[1] > counts[2], "{counts:?}");
     assert!(counts[2] >= 8, "the least urgent kind starves: {counts:?}");
 }
+
+/// Guards against refusing quiet accounts because of the queue of one that floods, and against
+/// admitting more requests of that one.
+#[test]
+fn the_work_ahead_is_that_of_the_own_share() {
+    let mut order = Order::open();
+    let (flood, quiet): (Arc<str>, Arc<str>) = (Arc::from("flood"), Arc::from("quiet"));
+    for account in [&flood, &quiet] {
+        (0..100).for_each(|_| order.on_served(account, Span::from_millis(10)));
+    }
+    let entry = |sequence, priority, account| Entry {
+        sequence,
+        priority,
+        account,
+        since: at(0),
+        max_wait: Span::from_millis(100),
+    };
+    let waiting: Vec<Entry<'_>> = (0..100).map(|index| entry(index, 1, &flood)).collect();
+    let ahead = |priority, account| {
+        let new = entry(100, priority, account);
+        order
+            .work_ahead(at(0), waiting.iter().copied(), &new)
+            .as_millis()
+    };
+    assert!((990..=1_010).contains(&ahead(1, &flood)));
+    assert!(ahead(1, &quiet) <= 11, "{}", ahead(1, &quiet));
+    assert!(ahead(0, &quiet) <= 11, "{}", ahead(0, &quiet));
+    assert!(ahead(2, &flood) <= 50, "{}", ahead(2, &flood));
+}
