Show operators how many requests wait, are admitted and refused

Cause: an overload of a server was seen only in single failed requests.

Change: the metrics yuccamount_waiting and yuccamount_admitted, and the log events overload-began and overload-ended for each server; an overload ends once no request waits and none was refused for a second.

Test: schedule::refusals_are_counted_by_reason. The events and the two other metrics have no test.

--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -40,6 +40,10 @@
     requests: Family<Outcome, Counter>,
     latency: Histogram,
     refusals: Family<Refusal, Counter>,
+    /// Requests that wait for a connection to a server.
+    pub waiting: Gauge,
+    /// Requests that were given a connection to a server.
+    pub admitted: Counter,
     /// Open sessions.
     pub sessions: Gauge,
     /// Bytes sent to other instances.
@@ -58,6 +62,8 @@
             requests: Family::default(),
             latency: Histogram::new(exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BUCKETS)),
             refusals: Family::default(),
+            waiting: Gauge::default(),
+            admitted: Counter::default(),
             sessions: Gauge::default(),
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
@@ -79,6 +85,16 @@
             "Requests refused before they were offered to a server, by reason",
             metrics.refusals.clone(),
         );
+        registry.register(
+            "waiting",
+            "Requests that wait for a connection to a server",
+            metrics.waiting.clone(),
+        );
+        registry.register(
+            "admitted",
+            "Requests that were given a connection to a server",
+            metrics.admitted.clone(),
+        );
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register(
             "peer_bytes",
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -439,6 +439,16 @@
         }
     }
 
+    /// Returns all metrics as OpenMetrics text.
+    pub fn metrics_text(&self) -> String {
+        let groups = self.groups();
+        let servers = groups.iter().flat_map(|group| group.servers());
+        let waiting: usize = servers.map(|server| server.pool.queue_len()).sum();
+        let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
+        self.metrics.waiting.set(waiting);
+        self.metrics.text()
+    }
+
     /// Returns the token bucket that enforces an account's limit.
     fn bucket(&self, limit: Limit) -> Limit {
         self.options
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -30,6 +30,10 @@
 /// Time limit for opening a connection; the server needs 10 to 30 ms of a free slot for it.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// An overload ends once no request waits and none was refused for this long; a queue that is empty
+/// for moments only would else write two lines each time.
+const OVERLOAD_PERIOD: Span = Span::from_secs(1);
+
 /// Whether a request got a connection at once or was queued.
 enum Acquisition {
     Ready(Grant),
@@ -255,7 +259,16 @@
             return None;
         }
         let now = self.clock.now();
-        let key = queue.next_waiter()?;
+        let Some(key) = queue.next_waiter() else {
+            if queue.refused > 0 && now >= queue.overloaded_until {
+                let refused = std::mem::take(&mut queue.refused);
+                log::info!(
+                    "event=overload-ended server={} refused={refused}",
+                    self.target.server
+                );
+            }
+            return None;
+        };
         let account = Arc::clone(&queue.waiters.get(&key)?.account);
         let claim = queue.claim(&account)?;
         let waiter = queue.take(now, key)?;
@@ -367,6 +380,16 @@
         priority: u32,
         admission: &Admission,
     ) -> Error {
+        if queue.refused == 0 {
+            log::info!(
+                "event=overload-began server={} waiting={} running={}",
+                self.target.server,
+                queue.waiters.len(),
+                queue.running()
+            );
+        }
+        queue.refused += 1;
+        queue.overloaded_until = now + OVERLOAD_PERIOD;
         let time_left = admission.deadline.saturating_duration_since(Instant::now());
         let overload = Overload {
             waiting: queue.waiting_before(priority),
--- a/crates/relay/src/pool/queue.rs
+++ b/crates/relay/src/pool/queue.rs
@@ -76,6 +76,10 @@
     pub is_closed: bool,
     /// How often connections are requested.
     pub usage: Usage,
+    /// The requests refused since the overload began; zero outside of one.
+    pub refused: u64,
+    /// Until when the overload lasts at least.
+    pub overloaded_until: Time,
     /// When the queue has room for refused requests.
     pub forecast: Forecast,
     /// The order in which queued requests are granted.
@@ -95,6 +99,8 @@
             next_sequence: 0,
             is_closed: false,
             usage: Usage::default(),
+            refused: 0,
+            overloaded_until: Time::ZERO,
             forecast: Forecast::open(),
             order: Order::open(),
         }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -182,7 +182,7 @@
     };
     let metrics = move || {
         let node = Arc::clone(&node);
-        async move { node.metrics.text() }
+        async move { node.metrics_text() }
     };
     let router = Router::new()
         .route(&path, get(ready))
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -74,10 +74,14 @@
     /// Acquires a connection to a server, queueing if necessary.
     pub async fn acquire(&self, server: &Server) -> Result<Connection, Error> {
         let priority = self.route.priority;
-        server
+        let acquired = server
             .pool
             .acquire(self.account, priority, self.admission())
-            .await
+            .await;
+        if acquired.is_ok() {
+            self.node.metrics.admitted.inc();
+        }
+        acquired
     }
 
     /// Aligns a connection's session state with the session, then sends `begin` if it is given.
--- a/crates/relay/tests/relay/schedule.rs
+++ b/crates/relay/tests/relay/schedule.rs
@@ -5,10 +5,12 @@
 
 use clock::Span;
 use clock::Time;
+use relay::metrics::Metrics;
 use relay::schedule::Entry;
 use relay::schedule::Forecast;
 use relay::schedule::Order;
 use relay::schedule::Overload;
+use relay::schedule::Reason;
 use relay::schedule::salt;
 
 fn at(millis: u64) -> Time {
@@ -248,3 +250,19 @@
     assert!(ahead(0, &quiet) <= 11, "{}", ahead(0, &quiet));
     assert!(ahead(2, &flood) <= 50, "{}", ahead(2, &flood));
 }
+
+/// Guards against refusals that operators don't see.
+#[test]
+fn refusals_are_counted_by_reason() {
+    let metrics = Metrics::open();
+    metrics.refused(Reason::Rate);
+    metrics.refused(Reason::Overload);
+    metrics.refused(Reason::Overload);
+    let text = metrics.text();
+    for line in [
+        "yuccamount_refused_total{reason=\"rate\"} 1",
+        "yuccamount_refused_total{reason=\"overload\"} 2",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
+}
