--- a/crates/relay/src/pool/queue.rs
+++ b/crates/relay/src/pool/queue.rs
@@ -6,10 +6,15 @@
 use clock::Span;
 use clock::Time;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
+use crate::pool::Admission;
 use crate::pool::Connection;
 use crate::pool::Permit;
 use crate::pool::Usage;
+use crate::schedule::Entry;
+use crate::schedule::Forecast;
+use crate::schedule::Order;
 
 /// Initial limit on connections and statements, until the instance's share is known.
 const INITIAL_LIMIT: usize = 2;
@@ -32,10 +37,25 @@
     pub account: Arc<str>,
     /// When it was queued.
     pub since: Time,
+    /// The longest time that it may wait.
+    pub max_wait: Span,
     /// Receives its grant.
     pub sender: oneshot::Sender<Grant>,
 }
 
+impl Waiter {
+    /// Returns the request as the order sees it.
+    fn entry(&self, (priority, sequence): (u32, u64)) -> Entry<'_> {
+        Entry {
+            sequence,
+            priority,
+            account: &self.account,
+            since: self.since,
+            max_wait: self.max_wait,
+        }
+    }
+}
+
 /// The queue of requests for connections to one server, and its idle connections.
 pub struct Queue {
     /// The maximum number of connections.
@@ -56,6 +76,14 @@
     pub is_closed: bool,
     /// How often connections are requested.
     pub usage: Usage,
+    /// The requests refused since the overload began; zero outside of one.
+    pub refused: u64,
+    /// Until when the overload lasts at least.
+    pub overloaded_until: Time,
+    /// When the queue has room for refused requests.
+    pub forecast: Forecast,
+    /// The order in which queued requests are granted.
+    pub order: Order,
 }
 
 impl Queue {
@@ -71,6 +99,10 @@
             next_sequence: 0,
             is_closed: false,
             usage: Usage::default(),
+            refused: 0,
+            overloaded_until: Time::ZERO,
+            forecast: Forecast::open(),
+            order: Order::open(),
         }
     }
 
@@ -99,18 +131,21 @@
 
     /// Returns the key of the request to grant next.
     ///
-    /// It is the oldest one of the most urgent priority, unless another one of that priority can
-    /// reuse an idle connection whose streak is below `REUSE_STREAK_MAX`.
+    /// It is the first one in `schedule::Order`, unless another one of its kind can reuse an idle
+    /// connection whose streak is below `REUSE_STREAK_MAX`.
     pub fn next_waiter(&mut self) -> Option<(u32, u64)> {
-        let (first, oldest) = self.waiters.first_key_value()?;
-        let first = *first;
-        if self.idle_for(&oldest.account).is_some() {
+        self.waiters.retain(|_, waiter| !waiter.sender.is_closed());
+        let entries = self.waiters.iter().map(|(key, waiter)| waiter.entry(*key));
+        let sequence = self.order.next(entries)?;
+        let mut keys = self.waiters.keys();
+        let first = *keys.find(|(_, other)| *other == sequence)?;
+        if self.idle_for(&self.waiters[&first].account).is_some() {
             return Some(first);
         }
+        let kind = (first.0, 0)..=(first.0, u64::MAX);
         let preferred = self
             .waiters
-            .iter()
-            .take_while(|((priority, _), _)| *priority == first.0)
+            .range(kind)
             .find_map(|(key, waiter)| Some((*key, self.idle_for(&waiter.account)?)));
         let Some((key, index)) = preferred else {
             return Some(first);
@@ -124,14 +159,78 @@
         Some(first)
     }
 
+    /// Removes the request that is granted a connection now.
+    pub fn take(&mut self, now: Time, key: (u32, u64)) -> Option<Waiter> {
+        let waiter = self.waiters.remove(&key)?;
+        self.order.on_granted(now, &waiter.entry(key));
+        Some(waiter)
+    }
+
     /// Returns when the oldest request that goes before a new one of `priority` was queued.
     pub fn oldest_wait(&self, priority: u32) -> Option<Time> {
         self.waiters
             .range(..(priority + 1, 0))
+            .filter(|(_, waiter)| !waiter.sender.is_closed())
             .map(|(_, waiter)| waiter.since)
             .min()
     }
 
+    /// Returns whether a new request has no chance to be served within its limits.
+    ///
+    /// It has none if it is not expected to be served within its wait, or if the queue is too old:
+    /// its own account's, or that of any request before it unless the forecast shows that the new
+    /// one passes that, as when another account floods the queue.
+    pub fn is_hopeless(
+        &self,
+        now: Time,
+        account: &Arc<str>,
+        priority: u32,
+        admission: &Admission,
+    ) -> bool {
+        let is_old = |since: Time| now >= since + admission.max_queue_age;
+        let own = self
+            .waiters
+            .range((priority, 0)..=(priority, u64::MAX))
+            .find(|(_, waiter)| waiter.account == *account && !waiter.sender.is_closed());
+        if own.is_some_and(|(_, waiter)| is_old(waiter.since)) {
+            return true;
+        }
+        let is_any_old = self.oldest_wait(priority).is_some_and(is_old);
+        if self.running() < self.statement_limit && !is_any_old {
+            return false;
+        }
+        let new = Entry {
+            sequence: self.next_sequence,
+            priority,
+            account,
+            since: now,
+            max_wait: admission.max_wait,
+        };
+        let waiting = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| !waiter.sender.is_closed())
+            .map(|(key, waiter)| waiter.entry(*key));
+        let work = self.order.work_ahead(now, waiting, &new);
+        let slots = self.statement_limit.min(self.connection_limit);
+        match self.forecast.wait(work, slots) {
+            Some(wait) => {
+                let left = admission.deadline.saturating_duration_since(Instant::now());
+                let limit = admission.max_wait.min(left.into());
+                wait > limit || (is_any_old && wait >= admission.max_queue_age)
+            }
+            None => is_any_old,
+        }
+    }
+
+    /// Returns the number of requests that wait and go before a new one of `priority`.
+    pub fn waiting_before(&self, priority: u32) -> usize {
+        self.waiters
+            .range(..(priority + 1, 0))
+            .filter(|(_, waiter)| !waiter.sender.is_closed())
+            .count()
+    }
+
     /// Removes and returns the connections that have been idle for `timeout`.
     pub fn take_idle_since(&mut self, now: Time, timeout: Option<Span>) -> Vec<Connection> {
         let Some(timeout) = timeout else {
@@ -151,11 +250,13 @@
         now: Time,
         account: &Arc<str>,
         priority: u32,
+        max_wait: Span,
     ) -> oneshot::Receiver<Grant> {
         let (sender, receiver) = oneshot::channel();
         let waiter = Waiter {
             account: Arc::clone(account),
             since: now,
+            max_wait,
             sender,
         };
         self.waiters.insert((priority, self.next_sequence), waiter);
