Relay: count the calls to the store by kind of call and of rows

Cause: calls to the platform's store are the largest cost besides lost answers, and nothing tells which task makes them.

Change: `Meter` stands before the table and both feeds of an instance, counts each call and passes it on. The metric is `store_calls` with the labels `call` and `what`; the summary line has `store_calls` and `store_calls_by`. The program's own retries and pages below these interfaces aren't counted.

Test: `store_calls::calls_of_the_table_are_counted_by_kind`. `store_calls` also runs the rate limiters of a fleet with the relay's timing, an in-memory table and no network, and bounds their calls.

--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::message::Code;
+use crate::metrics::Calls;
 use crate::node::lock;
 
 /// The upper bound of the first latency bucket, in seconds.
@@ -39,6 +40,8 @@
     pub leader_questions: Counter,
     /// Answered statements, including failed ones.
     pub statements: Counter,
+    /// Calls to the platform's store.
+    pub store_calls: Calls,
 }
 
 impl Metrics {
@@ -52,6 +55,7 @@
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
             statements: Counter::default(),
+            store_calls: Calls::default(),
         };
         let mut registry = lock(&metrics.registry);
         registry.register(
@@ -75,6 +79,11 @@
             "Questions to servers whether they lead",
             metrics.leader_questions.clone(),
         );
+        registry.register(
+            "store_calls",
+            "Calls to the platform's store by kind of call and of rows",
+            metrics.store_calls.family(),
+        );
         drop(registry);
         metrics
     }
--- a/crates/relay/src/node/dependencies.rs
+++ b/crates/relay/src/node/dependencies.rs
@@ -8,6 +8,8 @@
 
 use crate::external::Connector;
 use crate::external::Promoter;
+use crate::metrics::Calls;
+use crate::metrics::Meter;
 use crate::settings::Revision;
 use crate::settings::Server;
 
@@ -27,3 +29,15 @@
     /// The clock that measures leases and staleness.
     pub clock: Arc<dyn Clock>,
 }
+
+impl Dependencies {
+    /// Returns the services with every call to the store counted in `calls`.
+    pub fn metered(self, calls: &Calls) -> Self {
+        Self {
+            table: Meter::open(&self.table, calls, "other"),
+            revisions: Meter::open(&self.revisions, calls, "settings"),
+            servers: Meter::open(&self.servers, calls, "servers"),
+            ..self
+        }
+    }
+}
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -140,6 +140,8 @@
         let keys = key_policy(&options);
         let limiter = Limiter::open(&options.name, incarnation, options.peer, policy);
         let logger = Logger::open(Arc::clone(&dependencies.clock));
+        let metrics = Metrics::open();
+        let dependencies = dependencies.metered(&metrics.store_calls);
         Arc::new(Self {
             started: dependencies.clock.now(),
             dependencies,
@@ -170,7 +172,7 @@
             key_unknown: Notify::new(),
             applied: Notify::new(),
             drain: Notify::new(),
-            metrics: Metrics::open(),
+            metrics,
             logger,
             options,
         })
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -158,12 +158,15 @@
 fn log_summary(node: &Node) {
     let metrics = &node.metrics;
     log::info!(
-        "event=summary sessions={} statements={} peer_bytes={} leader_questions={} revision={}",
+        "event=summary sessions={} statements={} peer_bytes={} leader_questions={} revision={} \
+         store_calls={} store_calls_by={}",
         metrics.sessions.get(),
         metrics.statements.get(),
         metrics.peer_bytes.get(),
         metrics.leader_questions.get(),
-        node.revision().number
+        node.revision().number,
+        metrics.store_calls.total(),
+        metrics.store_calls.summary()
     );
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -18,5 +18,6 @@
 mod shares;
 mod slow_settings;
 mod stops;
+mod store_calls;
 mod survey;
 mod world;
