Relay: changed servers' entries pass from the pollers to the other instances

Cause: only few instances poll the servers' entries, but after each change every other instance read all of them from the store: one call per instance and change.

Change: an instance that learns from a poller that the entries have changed asks it for them.

--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -37,6 +37,7 @@
 use crate::node::Options;
 use crate::node::Readiness;
 use crate::node::Shares;
+use crate::peers::Catalog;
 use crate::peers::Confirmations;
 use crate::peers::Payload;
 use crate::peers::Peers;
@@ -44,6 +45,7 @@
 use crate::peers::Reports;
 use crate::peers::Topic;
 use crate::peers::Topics;
+use crate::peers::Transfer;
 use crate::peers::signed_ms;
 use crate::session::Job;
 use crate::settings::Revision;
@@ -89,6 +91,12 @@
     pub confirmations: Topics<Mutex<Confirmations>>,
     /// Notified when another instance confirmed something.
     pub confirmed: Topics<Notify>,
+    /// The servers' entries as this instance passes them on; empty unless it reads the store.
+    pub catalog: Mutex<Catalog>,
+    /// The request for the servers' entries that another instance read.
+    pub transfer: Mutex<Transfer>,
+    /// Notified when the requested entries arrived.
+    pub transferred: Notify,
     /// Queries for reports of the leaders' positions.
     pub reports: Mutex<Reports>,
     /// Notified when reports arrived.
@@ -155,6 +163,9 @@
             pollers: Mutex::default(),
             confirmations: Topics::open(|| Mutex::new(Confirmations::open(incarnation))),
             confirmed: Topics::default(),
+            catalog: Mutex::default(),
+            transfer: Mutex::new(Transfer::open(incarnation)),
+            transferred: Notify::new(),
             reports: Mutex::new(Reports::open(incarnation)),
             reported: Notify::new(),
             has_reports: AtomicBool::new(false),
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::peers::Change;
 use crate::peers::Report;
 use crate::peers::Topic;
 
@@ -100,6 +101,31 @@
         /// The view.
         view: View,
     },
+    /// Requests the servers' entries that differ from those that the sender knows.
+    GetEntries {
+        /// Returned with the response.
+        id: u64,
+        /// The digest of the entries that the sender knows.
+        known: u64,
+    },
+    /// The servers' entries that differ from those that the receiver knows; a response may consist
+    /// of several of these.
+    Entries {
+        /// The number of the request.
+        id: u64,
+        /// The number of this part, from zero.
+        part: u32,
+        /// The number of parts.
+        count: u32,
+        /// The store's version up to which the sender knows the entries.
+        version: u64,
+        /// The digest of all entries that the sender knows.
+        digest: u64,
+        /// Whether the parts together hold all entries rather than the changed ones.
+        is_full: bool,
+        /// The entries; `None` stands for a removed one.
+        changes: Vec<Change>,
+    },
 }
 
 /// An instance's view of a group.
--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -1,11 +1,17 @@
 //! Datagrams exchanged between instances.
 
+mod catalog;
 mod confirmations;
 mod datagram;
 mod peers;
 mod report;
 mod topic;
+mod transfer;
 
+pub use catalog::Catalog;
+pub use catalog::Change;
+pub use catalog::Entries;
+pub use catalog::digest;
 pub use confirmations::Confirmation;
 pub use confirmations::Confirmations;
 pub use datagram::Datagram;
@@ -18,3 +24,5 @@
 pub use report::signed_ms;
 pub use topic::Topic;
 pub use topic::Topics;
+pub use transfer::Transfer;
+pub use transfer::Update;
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -22,6 +22,7 @@
 use crate::peers::Datagram;
 use crate::peers::Payload;
 use crate::peers::Report;
+use crate::peers::Update;
 use crate::peers::View;
 use crate::peers::report::offset;
 use crate::task;
@@ -303,6 +304,31 @@
                 log::debug!("event=view-late from={}", datagram.from);
             }
         }
+        Payload::GetEntries { id, known } => {
+            let parts = lock(&node.catalog).answer(id, known);
+            for part in parts {
+                node.peers.send(node, address, part).await;
+            }
+        }
+        Payload::Entries {
+            id,
+            part,
+            count,
+            version,
+            digest,
+            is_full,
+            changes,
+        } => {
+            let update = Update {
+                version,
+                digest,
+                is_full,
+                changes,
+            };
+            if lock(&node.transfer).on_part(id, part, count, update) {
+                node.transferred.notify_one();
+            }
+        }
     }
 }
 
--- a/crates/relay/src/task/follower.rs
+++ b/crates/relay/src/task/follower.rs
@@ -56,6 +56,16 @@
         self.version = None;
     }
 
+    /// Returns the version up to which the rows are known; 0 if all must be read.
+    pub fn version(&self) -> u64 {
+        self.version.unwrap_or_default()
+    }
+
+    /// Makes the next call continue from `version`, up to which the rows are known.
+    pub fn resume_at(&mut self, version: u64) {
+        self.version = Some(version);
+    }
+
     /// Waits up to about `wait` for rows, and longer while their reply arrives. Returns `None` if the
     /// call failed or all rows must be read again, which the next call does.
     pub async fn next(&mut self, wait: Duration, progress: &Progress) -> Option<Update<T>> {
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -1,9 +1,6 @@
 //! Follows the entries that servers register.
 
 use std::collections::BTreeMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,10 +8,15 @@
 use clock::Span;
 use clock::Time;
 use store::Batch;
+use store::Change;
 use store::Progress;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::node::Node;
+use crate::node::lock;
+use crate::peers;
+use crate::peers::Payload;
 use crate::peers::Topic;
 use crate::settings::Server;
 use crate::task::confirmation;
@@ -26,10 +28,14 @@
 const LONG_POLL_WAIT: Duration = Duration::from_secs(2);
 /// Maximum wait for another instance's response: `LONG_POLL_WAIT` plus time for a slow store.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_700);
-/// Pause before an instance reads changed entries that another instance has polled.
+/// Pause before an instance reads changed entries that another instance has polled but not passed on.
 const CHANGE_PAUSE: Duration = Duration::from_millis(500);
+/// Maximum wait for the entries that another instance passes on: ten round trips between zones.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Requests for entries before the store is read instead; one of them may get lost.
+const TRANSFERS_MAX: u32 = 2;
 /// Pause after a batch, per other instance, so that consecutive changes arrive in one batch: each
-/// batch costs the store one reply per instance.
+/// batch costs datagrams to all instances.
 const BATCH_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(12);
 /// Maximum pause after a batch; it uses up part of the 7 s given for a leaving server.
 const BATCH_PAUSE_MAX: Duration = Duration::from_secs(1);
@@ -42,8 +48,8 @@
 
 /// Follows the entries until the process ends.
 ///
-/// Few instances poll the store; the others ask one of these whether the entries have changed and
-/// read the store only then.
+/// Few instances poll the store; the others ask one of these whether the entries have changed, and
+/// for the changed ones. They read the store only if they get no answer or one that does not fit.
 pub async fn run(node: Arc<Node>) {
     let mut entries = Entries {
         follower: Follower::open(&node.dependencies.servers, "servers"),
@@ -84,6 +90,7 @@
         }
         let has_changes = !update.batch.changes.is_empty();
         self.apply(update.batch, update.is_snapshot);
+        lock(&self.node.catalog).record(self.follower.version(), &self.present);
         confirmation::respond(&self.node, Topic::Servers, begun, self.digest()).await;
         if has_changes {
             let others = u32::try_from(self.node.peer_addresses().len()).unwrap_or(u32::MAX);
@@ -93,22 +100,62 @@
         true
     }
 
-    /// Queries another instance whether the entries have changed; returns whether they are known
-    /// not to have.
+    /// Queries another instance whether the entries have changed and applies the changes; returns
+    /// whether the entries are known then.
     async fn query_peer(&mut self, address: SocketAddr) -> bool {
         let wait = self.limit_to_expiry(PEER_TIMEOUT);
         let answer = confirmation::query(&self.node, address, Topic::Servers, wait).await;
-        let is_unchanged = match answer {
-            Some(answer) => answer.revision == self.digest(),
+        let is_known = match answer {
+            Some(answer) if answer.revision == self.digest() => true,
+            Some(_) => self.fetch_changes(address).await,
             // The next query asks again.
             None => wait < PEER_TIMEOUT,
         };
-        if !is_unchanged {
+        if !is_known {
             // Servers that start or leave together change their entries one by one.
             sleep(CHANGE_PAUSE).await;
             self.follower.restart();
         }
-        is_unchanged
+        is_known
+    }
+
+    /// Applies the changes that another instance passes on; returns whether the entries are known
+    /// then.
+    async fn fetch_changes(&mut self, address: SocketAddr) -> bool {
+        for _ in 0..TRANSFERS_MAX {
+            let id = lock(&self.node.transfer).request();
+            let known = self.digest();
+            let payload = Payload::GetEntries { id, known };
+            self.node.peers.send(&self.node, address, payload).await;
+            let node = Arc::clone(&self.node);
+            let received = async {
+                loop {
+                    if let Some(update) = lock(&node.transfer).take() {
+                        return update;
+                    }
+                    node.transferred.notified().await;
+                }
+            };
+            let Ok(update) = timeout(TRANSFER_TIMEOUT, received).await else {
+                continue;
+            };
+            let version = self.follower.version();
+            if update.apply_to(&self.present, version).is_none() {
+                break;
+            }
+            let changes = update.changes.into_iter();
+            let batch = Batch {
+                changes: changes
+                    .map(|(name, value)| Change { name, value })
+                    .collect(),
+                version: update.version,
+            };
+            self.follower.resume_at(update.version);
+            self.apply(batch, update.is_full);
+            return true;
+        }
+        log::info!("event=entries-not-transferred peer={address}");
+        false
     }
 
     /// Returns `wait`, or the time until the next missing entry counts as gone if that is shorter.
@@ -119,9 +166,7 @@
 
     /// Returns a number that is the same at all instances that know the same entries.
     fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.present.hash(&mut hasher);
-        hasher.finish()
+        peers::digest(&self.present)
     }
 
     fn expire(&mut self) {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod deposed;
 mod detector;
+mod entries;
 mod leader_lease;
 mod leadership;
 mod lease;
