--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::message::Code;
+use crate::metrics::Calls;
 use crate::node::lock;
 use crate::schedule::Reason;
 
@@ -56,6 +57,8 @@
     pub zones_evacuated: Gauge,
     /// Statements sent to servers of evacuated zones.
     pub evacuated_statements: Counter,
+    /// Calls to the platform's store.
+    pub store_calls: Calls,
 }
 
 impl Metrics {
@@ -74,6 +77,7 @@
             statements: Counter::default(),
             zones_evacuated: Gauge::default(),
             evacuated_statements: Counter::default(),
+            store_calls: Calls::default(),
         };
         let mut registry = lock(&metrics.registry);
         registry.register(
@@ -122,6 +126,11 @@
             "Statements sent to servers of evacuated zones",
             metrics.evacuated_statements.clone(),
         );
+        registry.register(
+            "store_calls",
+            "Calls to the platform's store by kind of call and of rows",
+            metrics.store_calls.family(),
+        );
         drop(registry);
         metrics
     }
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -40,6 +40,7 @@
 use crate::node::Options;
 use crate::node::Readiness;
 use crate::node::Shares;
+use crate::peers::Catalog;
 use crate::peers::Confirmations;
 use crate::peers::Payload;
 use crate::peers::Peers;
@@ -47,6 +48,7 @@
 use crate::peers::Reports;
 use crate::peers::Topic;
 use crate::peers::Topics;
+use crate::peers::Transfer;
 use crate::peers::signed_ms;
 use crate::schedule;
 use crate::schedule::Reason;
@@ -99,6 +101,12 @@
     pub confirmations: Topics<Mutex<Confirmations>>,
     /// Notified when another instance confirmed something.
     pub confirmed: Topics<Notify>,
+    /// The servers' entries as this instance passes them on; empty unless it reads the store.
+    pub catalog: Mutex<Catalog>,
+    /// The request for the servers' entries that another instance read.
+    pub transfer: Mutex<Transfer>,
+    /// Notified when the requested entries arrived.
+    pub transferred: Notify,
     /// Queries for reports of the leaders' positions.
     pub reports: Mutex<Reports>,
     /// Notified when reports arrived.
@@ -150,6 +158,8 @@
         let keys = key_policy(&options);
         let limiter = Limiter::open(&options.name, incarnation, options.peer, policy);
         let logger = Logger::open(Arc::clone(&dependencies.clock));
+        let metrics = Metrics::open();
+        let dependencies = dependencies.metered(&metrics.store_calls);
         Arc::new(Self {
             started: dependencies.clock.now(),
             dependencies,
@@ -165,6 +175,9 @@
             pollers: Mutex::default(),
             confirmations: Topics::open(|| Mutex::new(Confirmations::open(incarnation))),
             confirmed: Topics::default(),
+            catalog: Mutex::default(),
+            transfer: Mutex::new(Transfer::open(incarnation)),
+            transferred: Notify::new(),
             reports: Mutex::new(Reports::open(incarnation)),
             reported: Notify::new(),
             has_reports: AtomicBool::new(false),
@@ -182,7 +195,7 @@
             key_unknown: Notify::new(),
             applied: Notify::new(),
             drain: Notify::new(),
-            metrics: Metrics::open(),
+            metrics,
             logger,
             options,
         })
