Member list: an instance's zone in its slice row

Statements are to be forwarded only within a zone, and the member list held no zones. The row gets an optional field that an instance sets if it runs statements for others; rows without it, and rows with fields of later versions, are read as before. rows_with_and_without_a_zone_are_read_by_old_and_new_versions fails without the default. Two tests that build rows name the new field.

--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Records in this instance's row that it runs statements for other instances of its zone.
+    pub fn set_zone(&mut self, zone: &Arc<str>) {
+        self.slices.set_zone(zone);
+    }
+
     /// Applies the limits of a settings revision; a revision that is not newer is ignored.
     ///
     /// An account that is not listed is refused all requests.
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -53,6 +53,8 @@
     local: Member,
     key: Arc<str>,
     address: SocketAddr,
+    /// The zone that the own row names.
+    zone: Option<Arc<str>>,
     policy: Policy,
     view: View,
     lease: Lease,
@@ -82,6 +84,7 @@
             lease: Lease::open(local.clone()),
             local,
             address,
+            zone: None,
             policy,
             view: View::default(),
             elector: Elector::default(),
@@ -99,6 +102,11 @@
         }
     }
 
+    /// Sets the zone that the own row names from its next write on.
+    pub fn set_zone(&mut self, zone: &Arc<str>) {
+        self.zone = Some(Arc::clone(zone));
+    }
+
     /// Returns the slices that may be used, and until when.
     pub fn schedule(&mut self, now: Time) -> Schedule {
         self.lease.schedule(now, &self.policy)
@@ -414,6 +422,7 @@
             pinned: plan.pinned,
             mobile: plan.mobile,
             electors: plan.electors,
+            zone: self.zone.clone(),
         };
         let transaction =
             Transaction::renew(&self.key, confirmed, &row, &self.view, &plan.takeovers);
--- a/crates/account/src/rate/slices/row.rs
+++ b/crates/account/src/rate/slices/row.rs
@@ -60,6 +60,10 @@
     pub mobile: u64,
     /// Members of which a majority must consent before the mobile slices are taken over.
     pub electors: Vec<Member>,
+    /// The zone in which the holder runs statements for other instances; `None` if it runs none or
+    /// its version doesn't know zones.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<Arc<str>>,
 }
 
 impl Row {
--- a/crates/account/src/rate/slices/view.rs
+++ b/crates/account/src/rate/slices/view.rs
@@ -21,12 +21,14 @@
 }
 
 /// A member whose short lease had not lapsed at the last read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Holder {
     /// Address on which it listens.
     pub address: SocketAddr,
     /// The slices that it holds, as a mask.
     pub slices: u64,
+    /// The zone in which it runs statements for other instances, if it does.
+    pub zone: Option<Arc<str>>,
 }
 
 /// The rows of all members as of the last read.
@@ -108,6 +110,7 @@
     let holder = |observed: &Observation| Holder {
         address: observed.row.address,
         slices: observed.row.slices(),
+        zone: observed.row.zone.clone(),
     };
     newest
         .into_iter()
--- a/crates/account/tests/rate/conflict.rs
+++ b/crates/account/tests/rate/conflict.rs
@@ -66,6 +66,7 @@
         pinned: 0,
         mobile: 0,
         electors: vec![member.clone()],
+        zone: None,
     };
     store::Row {
         key: member.key(),
--- a/crates/account/tests/rate/traps.rs
+++ b/crates/account/tests/rate/traps.rs
@@ -232,6 +232,7 @@
             pinned,
             mobile: 0,
             electors: vec![member.clone()],
+            zone: None,
         };
         store::Row {
             key: member.key(),
@@ -260,3 +261,44 @@
     assert_ne!(own.slices(), 0, "free slices are acquired");
     assert_eq!(own.slices() & 0b1110, 0, "held ones are not");
 }
+
+/// A row of a version that doesn't know zones, or a row with a zone read by such a version, must not
+/// stop an instance from reading the member list.
+#[test]
+fn rows_with_and_without_a_zone_are_read_by_old_and_new_versions() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let stored = |name: &str, extra: &str| {
+        let value = format!(
+            "{{\"member\":{{\"name\":\"{name}\",\"life\":1}},\"address\":\"127.0.0.1:1\",\"serial\":1,\
+             \"lapsed\":false,\"lease_ms\":3000,\"pinned\":0,\"mobile\":0,\"electors\":[]{extra}}}"
+        );
+        store::Row {
+            key: Arc::from(format!("share/of/{name}/1")),
+            value: Arc::from(value),
+            version: 1,
+        }
+    };
+    let mut limiter = Limiter::open("c", 1, address(3), Policy::default());
+    limiter.set_zone(&Arc::from("z1"));
+    let now = Time::ZERO + Span::from_secs(1);
+    let actions = limiter.tick(now);
+    let Some(Action::Read { id }) = actions.first() else {
+        panic!("expected a read: {actions:?}");
+    };
+    let rows = vec![
+        stored("old", ""),
+        stored("new", ",\"zone\":\"z1\",\"later\":7"),
+    ];
+    let actions = limiter.on_read(now, *id, Ok(rows));
+    let members = limiter.members();
+    assert_eq!(members["old"].zone, None);
+    assert_eq!(members["new"].zone.as_deref(), Some("z1"));
+    let Some(Action::Commit { writes, .. }) = actions.first() else {
+        panic!("expected a registration: {actions:?}");
+    };
+    let names_zone = writes.iter().any(|write| {
+        matches!(write, Write::Put { key, value }
+            if key.contains("of/c") && value.contains("\"zone\":\"z1\""))
+    });
+    assert!(names_zone, "the own row names the zone: {writes:?}");
+}
