Decide without I/O which instance runs a statement

The router ranks the live instances of the zone for (account, group) by rendezvous hashing and leaves out those that are silent, disconnected or stopping; a lost reply never lets a write run again. It is not used yet. The tests in forward_router.rs play different views, silence, stops and losses.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod external;
 pub mod failover;
+pub mod forward;
 pub mod group;
 pub mod logs;
 pub mod message;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod deposed;
 mod detector;
+mod forward_router;
 mod leader_lease;
 mod leadership;
 mod lease;
