Forward single statements to the responsible instance of the zone

Where a server has fewer than two connections for each instance, nearly every statement opened one, which holds a slot for 12 ms. Reads and writes outside transactions now run at the instance of the zone that is responsible for the account and the group: over TCP at the peer address, sealed with the fleet's secret, several in flight on one connection a peer. The receiver checks key, freshness and revision against its own settings. A statement that was not sent runs locally, a read without a reply runs again, a write without one is in doubt and never sent again. A stopping instance answers what it has.

The option is_forwarding switches it on; the adapter leaves it off. forwarding.rs plays a responsible instance that dies, hangs, stops, declines or rejects, and origins with other settings, keys or secrets. Metrics: forwarded, run_for_others, forward_failures.

--- a/crates/relay/src/forward/loss.rs
+++ b/crates/relay/src/forward/loss.rs
@@ -1,7 +1,8 @@
 //! What a lost reply to a forwarded statement means.
 
 /// How the wait for the reply to a forwarded statement ended without one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Loss {
     /// The statement was not sent.
     Unsent,
--- a/crates/relay/src/message/code.rs
+++ b/crates/relay/src/message/code.rs
@@ -1,7 +1,12 @@
 //! Error codes of statements.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// The error code of a statement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, Serialize, Deserialize,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Code {
     /// The statement did not run for lack of capacity; the transaction is rolled back.
--- a/crates/relay/src/message/reply.rs
+++ b/crates/relay/src/message/reply.rs
@@ -4,11 +4,13 @@
 
 use clock::Span;
 use endpoint::Position;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::message::Code;
 
 /// The transaction state of a session.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 pub enum State {
     /// No transaction is open.
@@ -21,7 +23,7 @@
 }
 
 /// Why a statement failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// The error code.
     pub code: Code,
@@ -47,7 +49,7 @@
 }
 
 /// The reply to one statement.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     /// The rows.
     pub rows: Vec<Arc<str>>,
--- a/crates/relay/src/message/request.rs
+++ b/crates/relay/src/message/request.rs
@@ -3,9 +3,23 @@
 use std::sync::Arc;
 
 use endpoint::Position;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Whether a prepared statement reads or writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumString)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    strum::Display,
+    strum::EnumString,
+    Serialize,
+    Deserialize,
+)]
 #[strum(serialize_all = "UPPERCASE")]
 pub enum Access {
     /// The statement changes nothing.
@@ -15,7 +29,7 @@
 }
 
 /// The definition of a prepared statement.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Definition {
     /// Whether the statement reads or writes.
     pub access: Access,
@@ -24,7 +38,7 @@
 }
 
 /// One statement.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Statement {
     /// Begins a transaction.
     Begin {
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -26,6 +26,13 @@
     code: String,
 }
 
+/// The label of a forwarded statement that the other instance did not answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Failure {
+    /// Why there is no answer.
+    reason: String,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -39,6 +46,13 @@
     pub leader_questions: Counter,
     /// Answered statements, including failed ones.
     pub statements: Counter,
+    /// Statements forwarded to another instance.
+    pub forwarded: Counter,
+    /// Forwarded statements that ran at this instance in the end.
+    pub run_after_forward: Counter,
+    /// Statements run for other instances.
+    pub run_for_others: Counter,
+    forward_failures: Family<Failure, Counter>,
 }
 
 impl Metrics {
@@ -52,6 +66,10 @@
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
             statements: Counter::default(),
+            forwarded: Counter::default(),
+            run_after_forward: Counter::default(),
+            run_for_others: Counter::default(),
+            forward_failures: Family::default(),
         };
         let mut registry = lock(&metrics.registry);
         registry.register(
@@ -75,6 +93,21 @@
             "Questions to servers whether they lead",
             metrics.leader_questions.clone(),
         );
+        registry.register(
+            "forwarded",
+            "Statements forwarded to another instance",
+            metrics.forwarded.clone(),
+        );
+        registry.register(
+            "run_for_others",
+            "Statements run for other instances",
+            metrics.run_for_others.clone(),
+        );
+        registry.register(
+            "forward_failures",
+            "Statements that the other instance did not answer, by reason",
+            metrics.forward_failures.clone(),
+        );
         drop(registry);
         metrics
     }
@@ -88,6 +121,20 @@
         self.latency.observe(time.as_secs_f64());
     }
 
+    /// Counts a statement that another instance did not answer.
+    pub fn forward_failure(&self, reason: &str) {
+        let reason = reason.to_owned();
+        self.forward_failures
+            .get_or_create(&Failure { reason })
+            .inc();
+    }
+
+    /// Returns the number of statements that this instance ran, for its callers or for others.
+    pub fn statements_run(&self) -> u64 {
+        let here = self.statements.get() + self.run_for_others.get() + self.run_after_forward.get();
+        here.saturating_sub(self.forwarded.get())
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -27,6 +27,7 @@
 
 use crate::failover::Leases;
 use crate::failover::Rows;
+use crate::forward::Forwarder;
 use crate::group::Group;
 use crate::message::Code;
 use crate::message::Failure;
@@ -110,6 +111,8 @@
     pub load: Mutex<Load>,
     /// The loads of the other instances.
     pub shares: Mutex<Shares>,
+    /// Forwards statements to other instances of the zone.
+    pub forwarder: Forwarder,
     /// Readiness for new callers.
     pub readiness: Mutex<Readiness>,
     /// The progress of the current call for settings.
@@ -164,6 +167,7 @@
             leases: Leases::default(),
             load: Mutex::default(),
             shares: Mutex::default(),
+            forwarder: Forwarder::open(&options.name),
             readiness: Mutex::default(),
             settings_reply: Mutex::default(),
             is_stopping: AtomicBool::new(false),
@@ -232,6 +236,7 @@
 
     /// Updates the other live instances; returns whether any address changed.
     pub fn on_members(&self, live: &BTreeMap<Arc<str>, Holder>) -> bool {
+        self.on_zone_members(live);
         let mut known = lock(&self.members);
         let addresses = || live.iter().map(|(name, live)| (name, &live.address));
         if known.iter().eq(addresses()) {
@@ -252,6 +257,21 @@
         true
     }
 
+    /// Updates the instances of the zone to which statements may be forwarded.
+    fn on_zone_members(&self, live: &BTreeMap<Arc<str>, Holder>) {
+        if !self.options.is_forwarding {
+            return;
+        }
+        let neighbours = live
+            .iter()
+            .filter(|(_, holder)| holder.zone.as_ref() == Some(&self.options.zone))
+            .map(|(name, holder)| (Arc::clone(name), holder.address))
+            .collect();
+        if lock(&self.forwarder.router).on_members(&neighbours) {
+            self.forwarder.changed.notify_one();
+        }
+    }
+
     /// Returns the instances that read the store for all others.
     pub fn pollers(&self, topic: Topic) -> Arc<Vec<Arc<str>>> {
         let members = lock(&self.members);
@@ -334,6 +354,8 @@
             let total = max_connections.saturating_sub(SPARE_CONNECTIONS);
             let share = lock(&self.shares).share(now, own, &others, total);
             group.set_connection_share(now, share, total);
+            let is_scarce = self.options.is_forwarding && share.is_scarce();
+            lock(&self.forwarder.router).on_share(&group.name, is_scarce);
         }
     }
 
@@ -341,7 +363,7 @@
     pub async fn report_load(&self) {
         let load = {
             let mut load = lock(&self.load);
-            load.step(self.metrics.statements.get());
+            load.step(self.metrics.statements_run());
             load.report()
         };
         let is_large = lock(&self.members).len() >= REPORTED_FLEET_MIN;
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -35,6 +35,9 @@
     pub quota: Option<Quota>,
     /// Who keeps a replaced primary from acting.
     pub fencing: Fencing,
+    /// Whether statements are forwarded between the instances of a zone where connections are
+    /// scarce. The instance then listens at the peer address over TCP too.
+    pub is_forwarding: bool,
     /// The time limit of a graceful stop.
     pub stop_timeout: Span,
     /// The retry delay given to a caller whose statement did not run.
--- a/crates/relay/src/node/share.rs
+++ b/crates/relay/src/node/share.rs
@@ -49,7 +49,8 @@
         Some(idle.clamp(IDLE_MIN, IDLE_MAX))
     }
 
-    fn is_scarce(self) -> bool {
+    /// Returns whether connections are scarce: there are fewer than two for each instance.
+    pub fn is_scarce(self) -> bool {
         self.even_milli < SCARCE_SHARE
     }
 }
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -107,6 +107,14 @@
         lock(&self.queue).idle_for(account).is_some()
     }
 
+    /// Returns whether a request of the account would start at once.
+    pub fn has_room(&self, account: &str) -> bool {
+        let queue = lock(&self.queue);
+        let has_connection =
+            queue.idle_for(account).is_some() || queue.permits_in_use < queue.connection_limit;
+        queue.waiters.is_empty() && queue.running() < queue.statement_limit && has_connection
+    }
+
     /// Returns the number of queued requests.
     pub fn queue_len(&self) -> usize {
         lock(&self.queue).waiters.len()
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -20,6 +20,7 @@
 use crate::Error;
 use crate::external::Listener;
 use crate::failover;
+use crate::forward;
 use crate::node::Dependencies;
 use crate::node::Node;
 use crate::node::Options;
@@ -83,6 +84,9 @@
     background::spawn(&mut tasks, "limiter", &node, task::run_limiter);
     background::spawn(&mut tasks, "peers", &node, peers::run);
     background::spawn(&mut tasks, "supervisor", &node, supervise);
+    if node.options.is_forwarding {
+        start_forwarding(&mut tasks, &node).await;
+    }
     let accepting = tasks.spawn(accept(Arc::clone(&node), listener));
     stop.await;
     shut_down(&node, accepting, stop_timeout).await;
@@ -90,6 +94,23 @@
     Ok(())
 }
 
+/// Runs statements for other instances and forwards statements to them.
+///
+/// Without the address, the row of this instance names no zone, so that nobody forwards to it.
+async fn start_forwarding(tasks: &mut JoinSet<()>, node: &Arc<Node>) {
+    match TcpListener::bind(node.options.peer).await {
+        Ok(listener) => {
+            let listener = Arc::new(listener);
+            lock(&node.limiter).set_zone(&node.options.zone);
+            background::spawn(tasks, "receiver", node, move |node| {
+                forward::run_for_others(node, Arc::clone(&listener))
+            });
+        }
+        Err(error) => log::warn!("event=forward-bind-failed why=\"{error}\""),
+    }
+    background::spawn(tasks, "links", node, forward::keep_links);
+}
+
 async fn accept(node: Arc<Node>, listener: Box<dyn Listener>) {
     // Before that the databases and keys are unknown, and every caller would exceed its account's
     // rate.
@@ -210,7 +231,7 @@
 async fn drain_sessions(node: &Arc<Node>, first: Instant, last: Instant) {
     while Instant::now() < last {
         node.drain.notify_waiters();
-        let is_empty = node.metrics.sessions.get() == 0;
+        let is_empty = node.metrics.sessions.get() == 0 && node.forwarder.running() == 0;
         if is_empty && Instant::now() >= first {
             return;
         }
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -20,6 +20,8 @@
 use crate::node::Node;
 use crate::pool::Admission;
 use crate::pool::Connection;
+use crate::session::read;
+use crate::session::write;
 use crate::settings::Route;
 
 /// A read, write or commit of a session, with its execution context.
@@ -51,6 +53,15 @@
 }
 
 impl Job<'_> {
+    /// Runs the read or write outside a transaction.
+    pub async fn run(&self) -> Reply {
+        if self.is_write() {
+            write::run(self).await
+        } else {
+            read::run(self).await
+        }
+    }
+
     /// Builds the request for a connection, with the server's name for a prepared statement.
     pub fn request(&self, connection: &Connection, floor: Option<Position>) -> Request {
         let statement = match (self.statement, self.definition) {
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::external::Caller;
+use crate::forward;
 use crate::message::Code;
 use crate::message::Definition;
 use crate::message::Failure;
@@ -23,8 +24,6 @@
 use crate::node::lock;
 use crate::session::Job;
 use crate::session::Transaction;
-use crate::session::read;
-use crate::session::write;
 use crate::settings::Route;
 
 /// While an instance drains, it closes sessions idle for this long; a caller in the middle of a
@@ -284,10 +283,9 @@
         };
         let (is_write, reply) = {
             let job = self.job(id, statement, definition.as_ref(), &route, &group, arrived);
-            let reply = if job.is_write() {
-                write::run(&job).await
-            } else {
-                read::run(&job).await
+            let reply = match forward::run(&job, &self.database).await {
+                Some(reply) => reply,
+                None => job.run().await,
             };
             (job.is_write(), reply)
         };
--- a/crates/relay/src/task/secret.rs
+++ b/crates/relay/src/task/secret.rs
@@ -26,6 +26,7 @@
         match timeout(CALL_TIMEOUT, fetch_or_create(&node)).await {
             Ok(Ok(Some(secret))) => {
                 node.peers.set_secret(secret.as_bytes());
+                node.forwarder.set_secret(secret.as_bytes());
                 return;
             }
             // It was just created, by this instance or another; the next read returns it.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod deposed;
 mod detector;
 mod forward_router;
+mod forwarding;
 mod leader_lease;
 mod leadership;
 mod lease;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -24,6 +24,8 @@
 /// A statement that a server ran for a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
+    /// The instance that sent it.
+    pub instance: Arc<str>,
     pub server: Arc<str>,
     pub account: Arc<str>,
     pub id: Arc<str>,
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -262,6 +263,14 @@
     }
 }
 
+/// Returns settings under which three connections to each server are divided among the instances.
+pub fn scarce_revision(number: u64) -> Revision {
+    let mut revision = revision(number);
+    let group = revision.groups.get_mut(GROUP).expect("the group");
+    group.max_connections = 5;
+    revision
+}
+
 /// The table as an instance reaches it whose datagrams no other instance accepts.
 pub struct Outpost {
     table: Arc<Memory>,
@@ -330,6 +339,8 @@
     pub revisions: Arc<Rows<Revision>>,
     pub servers: Arc<Rows<settings::Server>>,
     fencing: Fencing,
+    /// Whether the instances forward statements to each other.
+    is_forwarding: bool,
     /// The peer address of each instance, which is the same after a restart.
     peers: Mutex<BTreeMap<Arc<str>, SocketAddr>>,
 }
@@ -343,6 +354,7 @@
             revisions: Rows::open(),
             servers: Rows::open(),
             fencing: Fencing::Enforced,
+            is_forwarding: false,
             peers: Mutex::default(),
         };
         world.set_revision(revision(1));
@@ -362,6 +374,16 @@
         world
     }
 
+    /// Opens a world whose instances forward statements, with less than two connections for each.
+    pub fn open_scarce() -> Self {
+        let world = Self {
+            is_forwarding: true,
+            ..Self::open()
+        };
+        world.set_revision(scarce_revision(2));
+        world
+    }
+
     /// Replaces the current revision of the settings.
     pub fn set_revision(&self, revision: Revision) {
         self.revisions.change(|rows| {
@@ -416,9 +438,10 @@
         self.start_with(name, Some(Span::from_secs(3)))
     }
 
-    fn peer(&self, name: &str) -> SocketAddr {
+    /// Returns the peer address of an instance.
+    pub fn peer(&self, name: &str) -> SocketAddr {
         let mut peers = self.peers.lock().expect("no test panics with the lock");
-        *peers.entry(Arc::from(name)).or_insert_with(free_udp)
+        *peers.entry(Arc::from(name)).or_insert_with(free_address)
     }
 
     /// Starts an instance that exchanges no datagrams with the others, and waits until it serves.
@@ -444,6 +467,7 @@
             key_grace,
             quota: None,
             fencing: self.fencing,
+            is_forwarding: self.is_forwarding,
             stop_timeout: Span::from_secs(6),
             retry_after: Span::from_millis(500),
         };
@@ -535,8 +559,13 @@
     }
 }
 
-/// Returns an unused UDP address.
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound port")
+/// Returns an address that is unused over UDP and TCP.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        let address = socket.local_addr().expect("a bound port");
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -91,6 +91,7 @@
         }
         if let Some(id) = &request.id {
             inner.runs.push(Run {
+                instance: Arc::clone(&self.instance),
                 server: Arc::clone(&self.server),
                 account: Arc::clone(&self.account),
                 id: Arc::clone(id),
--- a/crates/relay/tests/relay/world/mod.rs
+++ b/crates/relay/tests/relay/world/mod.rs
@@ -12,5 +12,7 @@
 pub use instance::Instance;
 pub use instance::KEY;
 pub use instance::World;
+pub use instance::free_address;
 pub use instance::revision;
+pub use instance::scarce_revision;
 pub use link::Dialer;
