--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod evacuation;
 pub mod external;
 pub mod failover;
+pub mod forward;
 pub mod group;
 pub mod logs;
 pub mod message;
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -35,6 +35,13 @@
     reason: String,
 }
 
+/// The label of a forwarded statement that the other instance did not answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Failure {
+    /// Why there is no answer.
+    reason: String,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -59,6 +66,13 @@
     pub evacuated_statements: Counter,
     /// Calls to the platform's store.
     pub store_calls: Calls,
+    /// Statements forwarded to another instance.
+    pub forwarded: Counter,
+    /// Forwarded statements that ran at this instance in the end.
+    pub run_after_forward: Counter,
+    /// Statements run for other instances.
+    pub run_for_others: Counter,
+    forward_failures: Family<Failure, Counter>,
 }
 
 impl Metrics {
@@ -78,6 +92,10 @@
             zones_evacuated: Gauge::default(),
             evacuated_statements: Counter::default(),
             store_calls: Calls::default(),
+            forwarded: Counter::default(),
+            run_after_forward: Counter::default(),
+            run_for_others: Counter::default(),
+            forward_failures: Family::default(),
         };
         let mut registry = lock(&metrics.registry);
         registry.register(
@@ -131,6 +149,21 @@
             "Calls to the platform's store by kind of call and of rows",
             metrics.store_calls.family(),
         );
+        registry.register(
+            "forwarded",
+            "Statements forwarded to another instance",
+            metrics.forwarded.clone(),
+        );
+        registry.register(
+            "run_for_others",
+            "Statements run for other instances",
+            metrics.run_for_others.clone(),
+        );
+        registry.register(
+            "forward_failures",
+            "Statements that the other instance did not answer, by reason",
+            metrics.forward_failures.clone(),
+        );
         drop(registry);
         metrics
     }
@@ -150,6 +183,20 @@
         self.refusals.get_or_create(&Refusal { reason }).inc();
     }
 
+    /// Counts a statement that another instance did not answer.
+    pub fn forward_failure(&self, reason: &str) {
+        let reason = reason.to_owned();
+        self.forward_failures
+            .get_or_create(&Failure { reason })
+            .inc();
+    }
+
+    /// Returns the number of statements that this instance ran, for its callers or for others.
+    pub fn statements_run(&self) -> u64 {
+        let here = self.statements.get() + self.run_for_others.get() + self.run_after_forward.get();
+        here.saturating_sub(self.forwarded.get())
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -42,6 +42,9 @@
     pub evacuation_bound: Option<Span>,
     /// How far requests to cold servers may exceed their rate.
     pub warmup_allowance: Allowance,
+    /// Whether statements are forwarded between the instances of a zone where connections are
+    /// scarce. The instance then listens at the peer address over TCP too.
+    pub is_forwarding: bool,
     /// The time limit of a graceful stop.
     pub stop_timeout: Span,
     /// The retry delay given to a caller whose statement did not run.
--- a/crates/relay/src/session/job.rs
+++ b/crates/relay/src/session/job.rs
@@ -22,6 +22,8 @@
 use crate::pool::Admission;
 use crate::pool::Connection;
 use crate::schedule;
+use crate::session::read;
+use crate::session::write;
 use crate::settings::Route;
 
 /// How often a statement that only a cold server can run checks for its instance's turn; a slot
@@ -57,6 +59,15 @@
 }
 
 impl Job<'_> {
+    /// Runs the read or write outside a transaction.
+    pub async fn run(&self) -> Reply {
+        if self.is_write() {
+            write::run(self).await
+        } else {
+            read::run(self).await
+        }
+    }
+
     /// Builds the request for a connection, with the server's name for a prepared statement.
     pub fn request(&self, connection: &Connection, floor: Option<Position>) -> Request {
         self.count_evacuated(connection.server());
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -9,6 +9,8 @@
 mod evacuation;
 mod evacuation_schedule;
 mod evacuations;
+mod forward_router;
+mod forwarding;
 mod leader_lease;
 mod leadership;
 mod lease;
