Place reads by measured reply times and failures

Cause: Group::choose_reader compared only this instance's open requests and constant costs. Ties made all instances choose the same server, and Health clears all failures on one success, so a server that failed 2 of 5 requests or was 5 times slower kept its full part of the reads.

Change: the module relay::balance, which does no I/O, keeps moving averages of reply times, failures and waits per server, finds outliers by comparison within the group, brings them back in steps and chooses by the expected time of a read. Where connections are scarce it takes the better of two random candidates; else the best one, which is the nearest free replica with an idle connection. Log events server-outlier, server-recovering and server-recovered; metric servers by state.

Tests: tests/relay/balance.rs replays the load patterns.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -13,8 +13,13 @@
 use clock::Time;
 use endpoint::Position;
 use endpoint::Role;
+use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::balance::Balance;
+use crate::balance::Candidate;
+use crate::balance::State;
+use crate::balance::Summary;
 use crate::external::Connector;
 use crate::external::Target;
 use crate::failover::Departed;
@@ -43,13 +48,6 @@
 const STATEMENTS_PER_SLOT: usize = 4;
 /// Concurrent statements that an instance may always send to a server.
 const STATEMENTS_MIN: usize = 2;
-/// Cost of reading from the leader, in units of one waiting request: the leader also serves all
-/// writes.
-const LEADER_COST: usize = 3;
-/// Cost of opening a connection, in the same unit.
-const OPEN_COST: usize = 2;
-/// Cost of reading from another availability zone, in the same unit.
-const ZONE_COST: usize = 1;
 
 /// A server whose entry was removed from the store or expired.
 #[derive(Clone, Debug)]
@@ -77,6 +75,10 @@
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
     /// Servers whose entries were removed, by id; they may still hold commits.
     removed: Mutex<BTreeMap<Arc<str>, Removed>>,
+    /// Chooses the servers for reads.
+    balance: Mutex<Balance>,
+    /// Whether there are too few connections for every instance to keep some.
+    is_scarce: AtomicBool,
     /// Notified when the leader or the servers change.
     pub changed: Notify,
     /// Decides when the leader must be replaced.
@@ -109,6 +111,8 @@
             leader_lease: (fencing == Fencing::Unchecked).then(Mutex::default),
             servers: Mutex::default(),
             removed: Mutex::default(),
+            balance: Mutex::default(),
+            is_scarce: AtomicBool::new(false),
             changed: Notify::new(),
             detector: Mutex::default(),
             recheck: Mutex::default(),
@@ -193,6 +197,7 @@
     /// Limits this instance to its share of the `total` connections to each server, and its
     /// concurrent statements in proportion.
     pub fn set_connection_share(&self, now: Time, share: Share, total: usize) {
+        self.is_scarce.store(share.is_scarce(), Ordering::Relaxed);
         for server in self.servers() {
             let slots = lock(&server.entry).slots;
             let statements =
@@ -291,7 +296,7 @@
         first
     }
 
-    /// Returns the cheapest server for a read that needs `floor`, leaving out those in `tried`.
+    /// Chooses a server for a read that needs `floor`, leaving out those in `tried`.
     pub fn choose_reader(
         &self,
         now: Time,
@@ -299,22 +304,82 @@
         account: &str,
         zone: &str,
         tried: &BTreeSet<Arc<str>>,
+        random: &mut impl Rng,
     ) -> Option<Arc<Server>> {
         let leader = lock(&self.leadership).server().cloned();
-        self.servers()
+        self.review_servers(now);
+        let mut servers: Vec<Arc<Server>> = self
+            .servers()
             .into_iter()
             .filter(|server| !tried.contains(&server.name) && !server.is_draining())
             .filter(|server| lock(&server.health).can_serve(now, floor))
-            .min_by_key(|server| {
-                let is_leader = leader.as_ref() == Some(&server.name);
-                let waiting = lock(&server.health).outstanding_batches() + server.pool.queue_len();
-                let must_open = !server.pool.has_idle(account);
-                let is_far = *server.zone() != *zone;
-                waiting
-                    + usize::from(is_leader) * LEADER_COST
-                    + usize::from(must_open) * OPEN_COST
-                    + usize::from(is_far) * ZONE_COST
+            .collect();
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| self.candidate(now, server, leader.as_ref(), account, zone))
+            .collect();
+        let is_scarce = self.is_scarce.load(Ordering::Relaxed);
+        let index = lock(&self.balance).choose(&candidates, is_scarce, random)?;
+        Some(servers.swap_remove(index))
+    }
+
+    fn candidate(
+        &self,
+        now: Time,
+        server: &Server,
+        leader: Option<&Arc<str>>,
+        account: &str,
+        zone: &str,
+    ) -> Candidate {
+        let (summary, unanswered, writes) = {
+            let health = lock(&server.health);
+            (
+                health.record.summary(now),
+                health.outstanding_batches(),
+                health.outstanding_commits(),
+            )
+        };
+        // A guard in the expression below would last until its end, and `zone` locks the entry too.
+        let slots = lock(&server.entry).slots;
+        Candidate {
+            server: Arc::clone(&server.name),
+            summary,
+            waiting: unanswered + server.pool.queue_len(),
+            writes,
+            slots,
+            has_idle: server.pool.has_idle(account),
+            is_far: *server.zone() != *zone,
+            is_leader: leader == Some(&server.name),
+        }
+    }
+
+    /// Compares the servers, logs those whose state in the placement of reads changes, and returns
+    /// the states.
+    pub fn review_servers(&self, now: Time) -> Vec<State> {
+        let summaries: BTreeMap<Arc<str>, Summary> = self
+            .servers()
+            .into_iter()
+            .map(|server| {
+                let summary = lock(&server.health).record.summary(now);
+                (Arc::clone(&server.name), summary)
             })
+            .collect();
+        let mut balance = lock(&self.balance);
+        for change in balance.review(now, &summaries) {
+            let event = match change.state {
+                State::Normal => "server-recovered",
+                State::Outlier => "server-outlier",
+                State::Recovering => "server-recovering",
+            };
+            log::info!(
+                "event={event} group={} server={} failure_rate={:.2} reply_ms={:.0}",
+                self.name,
+                change.server,
+                change.summary.failure_rate,
+                change.summary.reply_ms
+            );
+        }
+        summaries.keys().map(|name| balance.state(name)).collect()
     }
 
     /// Applies a reply that only a leader can give, to a request sent at `sent`.
--- a/crates/relay/src/group/health.rs
+++ b/crates/relay/src/group/health.rs
@@ -6,6 +6,9 @@
 use clock::Time;
 use endpoint::Position;
 
+use crate::balance::Record;
+use crate::message::Code;
+
 /// Pause before another connection is requested from a server that had none left.
 const EXHAUSTED_PAUSE: Span = Span::from_millis(150);
 /// How long a server is skipped after a failure; doubled with each consecutive failure.
@@ -42,6 +45,8 @@
     pub failed_at: Time,
     /// End of the pause after the server had no connection left.
     exhausted_until: Time,
+    /// Reply times and failures, which outlast single successes.
+    pub record: Record,
     /// Until then the server is assumed not to have reached floors above `applied`.
     lagging_until: Time,
 }
@@ -68,7 +73,9 @@
 
     /// Records that a commit was answered or abandoned.
     pub fn on_commit_end(&mut self, now: Time, ticket: u64, is_success: bool) {
-        self.pending_commits.remove(&ticket);
+        if let Some(sent) = self.pending_commits.remove(&ticket) {
+            self.record.on_commit(now, sent);
+        }
         if is_success {
             self.committed_at = now;
         }
@@ -93,10 +100,24 @@
         }
     }
 
+    /// Records the outcome of a caller's statement that was sent at `sent`.
+    pub fn on_outcome(&mut self, now: Time, sent: Time, code: Option<Code>) {
+        match code {
+            None => self.record.on_success(now, sent),
+            // A statement may be wrong itself; then it fails at all servers, which are compared.
+            Some(Code::Failed | Code::Busy | Code::TooManyConnections | Code::Aborted) => {
+                self.record.on_failure(now);
+            }
+            Some(Code::Timeout) => self.record.on_timeout(now, sent),
+            Some(_) => {}
+        }
+    }
+
     /// Records a failure to reach the server.
     pub fn on_failure(&mut self, now: Time) {
         let doublings = self.failures.min(DOUBLINGS_MAX);
         self.failures += 1;
+        self.record.on_failure(now);
         self.failed_at = now;
         self.failed_until = now + Span::from_millis(FAILURE_PAUSE.as_millis() << doublings);
     }
@@ -122,6 +143,11 @@
         now >= self.failed_until && !is_lagging
     }
 
+    /// Returns the number of unanswered commits.
+    pub fn outstanding_commits(&self) -> usize {
+        self.pending_commits.len()
+    }
+
     /// Returns the number of unanswered batches.
     pub fn outstanding_batches(&self) -> usize {
         self.outstanding.len()
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod error;
 
+pub mod balance;
 pub mod external;
 pub mod failover;
 pub mod group;
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::balance::State;
 use crate::message::Code;
 use crate::node::lock;
 
@@ -26,11 +27,19 @@
     code: String,
 }
 
+/// The label of a server's state in the placement of reads.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Placement {
+    /// `normal`, `outlier` or `recovering`.
+    state: String,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<Outcome, Counter>,
     latency: Histogram,
+    servers: Family<Placement, Gauge>,
     /// Open sessions.
     pub sessions: Gauge,
     /// Bytes sent to other instances.
@@ -48,6 +57,7 @@
             registry: Mutex::new(Registry::with_prefix("yuccamount")),
             requests: Family::default(),
             latency: Histogram::new(exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BUCKETS)),
+            servers: Family::default(),
             sessions: Gauge::default(),
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
@@ -64,6 +74,11 @@
             "Time from arrival to answer",
             metrics.latency.clone(),
         );
+        registry.register(
+            "servers",
+            "Servers by state in the placement of reads",
+            metrics.servers.clone(),
+        );
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register(
             "peer_bytes",
@@ -88,6 +103,20 @@
         self.latency.observe(time.as_secs_f64());
     }
 
+    /// Sets the numbers of servers by their states in the placement of reads.
+    pub fn set_servers(&self, states: impl Iterator<Item = State>) {
+        let mut counts = [State::Normal, State::Outlier, State::Recovering].map(|state| (state, 0));
+        for state in states {
+            for (_, count) in counts.iter_mut().filter(|(known, _)| *known == state) {
+                *count += 1;
+            }
+        }
+        for (state, count) in counts {
+            let state = state.to_string();
+            self.servers.get_or_create(&Placement { state }).set(count);
+        }
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -337,6 +337,14 @@
         }
     }
 
+    /// Updates the numbers of servers by their state in the placement of reads.
+    pub fn count_servers(&self) {
+        let now = self.now();
+        let groups = self.groups();
+        let states = groups.iter().flat_map(|group| group.review_servers(now));
+        self.metrics.set_servers(states);
+    }
+
     /// Sends this instance's load to the others if it is due, and divides the connections again.
     pub async fn report_load(&self) {
         let load = {
--- a/crates/relay/src/node/share.rs
+++ b/crates/relay/src/node/share.rs
@@ -49,7 +49,8 @@
         Some(idle.clamp(IDLE_MIN, IDLE_MAX))
     }
 
-    fn is_scarce(self) -> bool {
+    /// Returns whether there are fewer than two connections for each instance.
+    pub fn is_scarce(self) -> bool {
         self.even_milli < SCARCE_SHARE
     }
 }
--- a/crates/relay/src/pool/connection.rs
+++ b/crates/relay/src/pool/connection.rs
@@ -10,6 +10,7 @@
 use crate::Error;
 use crate::external;
 use crate::external::Status;
+use crate::message::Code;
 use crate::message::Definition;
 use crate::message::Reply;
 use crate::message::Request;
@@ -113,15 +114,27 @@
         &mut self,
         requests: &[Request],
         deadline: Instant,
+    ) -> Result<Vec<Reply>, Error> {
+        self.run(requests, deadline, true).await
+    }
+
+    /// Pipelines requests and receives all replies; commits are not measured, since they also wait
+    /// for replicas.
+    async fn run(
+        &mut self,
+        requests: &[Request],
+        deadline: Instant,
+        is_measured: bool,
     ) -> Result<Vec<Reply>, Error> {
         let pool = Arc::clone(self.permit.pool());
-        let ticket = lock(&pool.health).on_sent(pool.clock.now());
+        let sent = pool.clock.now();
+        let ticket = lock(&pool.health).on_sent(sent);
         let ended = BatchGuard {
             pool: &pool,
             ticket,
         };
         self.unanswered += requests.len();
-        let exchanged = timeout_at(deadline, self.send_and_receive(requests)).await;
+        let exchanged = timeout_at(deadline, self.send_and_receive(requests, is_measured)).await;
         drop(ended);
         match exchanged {
             Ok(Ok(replies)) => Ok(replies),
@@ -129,10 +142,15 @@
                 lock(&pool.health).on_failure(pool.clock.now());
                 Err(error)
             }
-            Err(_) => Err(Error::Timeout {
-                step: "run a statement",
-                peer: self.server().to_string(),
-            }),
+            Err(_) => {
+                if is_measured {
+                    lock(&pool.health).on_outcome(pool.clock.now(), sent, Some(Code::Timeout));
+                }
+                Err(Error::Timeout {
+                    step: "run a statement",
+                    peer: self.server().to_string(),
+                })
+            }
         }
     }
 
@@ -142,7 +160,7 @@
     pub async fn commit(&mut self, request: Request, deadline: Instant) -> Result<Reply, Error> {
         let pool = Arc::clone(self.permit.pool());
         let ticket = lock(&pool.health).on_commit_sent(pool.clock.now());
-        let exchanged = self.exchange(&[request], deadline).await;
+        let exchanged = self.run(&[request], deadline, false).await;
         let reply = exchanged.map(|mut replies| replies.remove(0));
         let is_success = matches!(&reply, Ok(reply) if reply.outcome.is_ok());
         lock(&pool.health).on_commit_end(pool.clock.now(), ticket, is_success);
@@ -191,15 +209,30 @@
         self.inner.is_open()
     }
 
-    async fn send_and_receive(&mut self, requests: &[Request]) -> Result<Vec<Reply>, Error> {
+    async fn send_and_receive(
+        &mut self,
+        requests: &[Request],
+        is_measured: bool,
+    ) -> Result<Vec<Reply>, Error> {
+        let sent = self.permit.pool().clock.now();
         self.inner.send(requests).await?;
         let mut replies = Vec::with_capacity(requests.len());
-        for _ in requests {
+        for request in requests {
             let reply = self.inner.receive().await?;
             self.unanswered -= 1;
             self.state = reply.state;
             let pool = self.permit.pool();
-            lock(&pool.health).on_reply(pool.clock.now(), reply.position);
+            let now = pool.clock.now();
+            let mut health = lock(&pool.health);
+            health.on_reply(now, reply.position);
+            let is_statement = matches!(
+                request.statement,
+                Statement::Read { .. } | Statement::Execute { .. }
+            );
+            if is_measured && is_statement {
+                health.on_outcome(now, sent, reply.code());
+            }
+            drop(health);
             replies.push(reply);
         }
         Ok(replies)
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -126,6 +126,7 @@
         priority: u32,
         admission: Admission,
     ) -> Result<Connection, Error> {
+        let begun = self.clock.now();
         let grant = match self.take_or_enqueue(account, priority, admission.max_queue_age)? {
             Acquisition::Ready(grant) => grant,
             Acquisition::Queued(receiver) => {
@@ -135,13 +136,22 @@
                 match timeout_at(until, receiver).await {
                     Ok(Ok(grant)) => grant,
                     Ok(Err(_)) => return Err(self.unavailable()),
-                    Err(_) => return Err(self.overloaded()),
+                    Err(_) => {
+                        self.on_wait(begun);
+                        return Err(self.overloaded());
+                    }
                 }
             }
         };
+        self.on_wait(begun);
         self.open_or_reuse(grant, account, admission.deadline).await
     }
 
+    /// Records how long a request has waited, which the placement of reads considers.
+    fn on_wait(&self, begun: Time) {
+        lock(&self.health).record.on_wait(self.clock.now(), begun);
+    }
+
     /// Returns the granted connection if it is reusable, otherwise opens one with its permit.
     async fn open_or_reuse(
         self: &Arc<Self>,
@@ -335,6 +345,8 @@
                 health.on_reply(now, None);
                 if code == Code::TooManyConnections {
                     health.on_connections_exhausted(now);
+                } else {
+                    health.record.on_failure(now);
                 }
                 return Err(error);
             }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -129,6 +129,7 @@
             log_summary(&node);
         }
         node.share_connections();
+        node.count_servers();
         for group in node.groups() {
             if watched.insert(Arc::clone(&group.name)) {
                 watches.spawn(task::leader::run(Arc::clone(&node), Arc::clone(&group)));
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -65,9 +65,9 @@
     let now = job.node.now();
     if let Some(floor) = floor(job, job.arrived) {
         let zone = &job.node.options.zone;
-        let server = job
-            .group
-            .choose_reader(now, floor, job.account, zone, tried);
+        let server =
+            job.group
+                .choose_reader(now, floor, job.account, zone, tried, &mut rand::rng());
         return server.map_or(Destination::Unavailable, |server| {
             Destination::Server(server, floor)
         });
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay against an in-memory group of servers.
 
 mod background;
+mod balance;
 mod confirmations;
 mod departures;
 mod deposed;
--- a/crates/relay/tests/relay/pool.rs
+++ b/crates/relay/tests/relay/pool.rs
@@ -5,10 +5,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use clock::Clock;
 use clock::Span;
 use clock::System;
 use relay::external::Target;
 use relay::group::Health;
+use relay::message::Request;
+use relay::message::Statement;
 use relay::pool::Admission;
 use relay::pool::Pool;
 use tokio::time::Instant;
@@ -17,15 +20,18 @@
 use crate::world::Group;
 
 fn open(limit: usize) -> Arc<Pool> {
+    open_with(limit, Group::open(), Arc::default())
+}
+
+fn open_with(limit: usize, group: Arc<Group>, health: Arc<Mutex<Health>>) -> Arc<Pool> {
     let target = Target {
         group: Arc::from("huvo"),
         server: Arc::from("a"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         account: Arc::from(""),
     };
-    let health: Arc<Mutex<Health>> = Arc::default();
     let connector = Arc::new(Dialer {
-        group: Group::open(),
+        group,
         instance: Arc::from("i1"),
     });
     let pool = Pool::open(target, connector, health, Arc::new(System::open()));
@@ -278,3 +284,51 @@
     transaction.release();
     assert!(pool.acquire(&account("y"), 1, admission()).await.is_ok());
 }
+
+/// Guards the placement of reads against a record that probes, commits or the preparation of a
+/// session make look better or worse than the statements are.
+#[tokio::test(start_paused = true)]
+async fn replies_and_failures_of_statements_are_recorded() {
+    let group = Group::open();
+    let health: Arc<Mutex<Health>> = Arc::default();
+    let pool = open_with(2, Arc::clone(&group), Arc::clone(&health));
+    let summary = || {
+        let now = System::open().now();
+        health.lock().expect("no panic").record.summary(now)
+    };
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let read = Request {
+        id: Some(Arc::from("1")),
+        floor: None,
+        statement: Statement::Read {
+            item: Arc::from("x"),
+        },
+    };
+    let mut connection = pool
+        .acquire(&account("x"), 1, admission())
+        .await
+        .expect("room");
+    let probe = Request::internal(Statement::Rollback);
+    connection
+        .exchange(&[probe], deadline)
+        .await
+        .expect("a reply");
+    let written = Request {
+        id: Some(Arc::from("2")),
+        floor: None,
+        statement: Statement::Write {
+            arguments: Arc::from("x 1"),
+        },
+    };
+    connection.commit(written, deadline).await.expect("a reply");
+    assert!(summary().replies < 0.1, "{:?}", summary());
+    connection
+        .exchange(std::slice::from_ref(&read), deadline)
+        .await
+        .expect("a reply");
+    assert!(summary().replies > 0.9, "{:?}", summary());
+    assert!(summary().failure_rate < 0.1, "{:?}", summary());
+    group.crash("a");
+    assert!(connection.exchange(&[read], deadline).await.is_err());
+    assert!(summary().failure_rate > 0.3, "{:?}", summary());
+}
