Let instances report their load of servers to each other

Cause: where connections are scarce, an instance sends a server less than one request a second and can't see its queue. After the loss of a replica, reads queued at the other one while the primary had free slots.

Change: with each query for reports, every 400 ms, an instance sends its unanswered requests by server; the queried instance responds with an estimate for all others. Nothing is sent where connections are not scarce.

Further tests in tests/relay/balance.rs: the estimate from fresh reports, a server that is busy for others, the size of a report; in reports.rs, six instances with scarce connections read and still get reports. No test shows yet that the numbers received change the choice of a running instance.

--- a/crates/relay/src/balance/candidate.rs
+++ b/crates/relay/src/balance/candidate.rs
@@ -29,7 +29,9 @@
     pub summary: Summary,
     /// Requests that are queued for it or not yet answered by it.
     pub waiting: usize,
-    /// Those of them that may commit, which hold a slot until replicas have confirmed.
+    /// The mean of the same for all other instances, as far as they reported it recently.
+    pub elsewhere: f64,
+    /// Those of `waiting` that may commit, which hold a slot until replicas have confirmed.
     pub writes: usize,
     /// The statements that it runs at the same time.
     pub slots: usize,
@@ -52,7 +54,7 @@
         if self.is_leader {
             ahead += self.writes;
         }
-        let queued = count(ahead) / count(self.slots.max(1)) * fastest_ms;
+        let queued = (count(ahead) + self.elsewhere) / count(self.slots.max(1)) * fastest_ms;
         let commits = (summary.commit_ms - EQUAL_REPLIES * fastest_ms).max(0.0);
         let open = if self.has_idle { 0.0 } else { OPEN_MS };
         let leader = if self.is_leader { LEADER_MS } else { 0.0 };
--- a/crates/relay/src/balance/mod.rs
+++ b/crates/relay/src/balance/mod.rs
@@ -3,6 +3,7 @@
 mod average;
 mod balance;
 mod candidate;
+mod loads;
 mod record;
 mod standing;
 
@@ -10,6 +11,11 @@
 pub use balance::Balance;
 pub use balance::Change;
 pub use candidate::Candidate;
+pub use loads::Counts;
+pub use loads::LOADS_AGE_MAX;
+pub use loads::LOADS_HALF_LIFE;
+pub use loads::Loads;
+pub use loads::largest;
 pub use record::Record;
 pub use record::Summary;
 pub use standing::Standing;
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -16,8 +16,12 @@
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::balance::Average;
 use crate::balance::Balance;
 use crate::balance::Candidate;
+use crate::balance::Counts;
+use crate::balance::LOADS_AGE_MAX;
+use crate::balance::LOADS_HALF_LIFE;
 use crate::balance::State;
 use crate::balance::Summary;
 use crate::external::Connector;
@@ -77,6 +81,8 @@
     removed: Mutex<BTreeMap<Arc<str>, Removed>>,
     /// Chooses the servers for reads.
     balance: Mutex<Balance>,
+    /// Unanswered requests of other instances by server, and as of when they were reported last.
+    loads: Mutex<(BTreeMap<Arc<str>, Average>, Time)>,
     /// Whether there are too few connections for every instance to keep some.
     is_scarce: AtomicBool,
     /// Notified when the leader or the servers change.
@@ -112,6 +118,7 @@
             servers: Mutex::default(),
             removed: Mutex::default(),
             balance: Mutex::default(),
+            loads: Mutex::default(),
             is_scarce: AtomicBool::new(false),
             changed: Notify::new(),
             detector: Mutex::default(),
@@ -345,6 +352,7 @@
             server: Arc::clone(&server.name),
             summary,
             waiting: unanswered + server.pool.queue_len(),
+            elsewhere: self.elsewhere(now, &server.name),
             writes,
             slots,
             has_idle: server.pool.has_idle(account),
@@ -353,6 +361,45 @@
         }
     }
 
+    /// Returns this instance's unanswered requests by server; `None` where connections are not
+    /// scarce, as reports would cost more there than they tell.
+    pub fn loads(&self) -> Option<Counts> {
+        if !self.is_scarce.load(Ordering::Relaxed) {
+            return None;
+        }
+        let count = |server: Arc<Server>| {
+            let unanswered = lock(&server.health).outstanding_batches();
+            let key = (Arc::clone(&self.name), Arc::clone(&server.name));
+            (key, u32::try_from(unanswered).unwrap_or(u32::MAX))
+        };
+        Some(self.servers().into_iter().map(count).collect())
+    }
+
+    /// Applies the unanswered requests of other instances as of `at`.
+    pub fn on_loads(&self, at: Time, counts: &Counts) {
+        let servers = self.servers();
+        let mut loads = lock(&self.loads);
+        loads.1 = loads.1.max(at);
+        loads
+            .0
+            .retain(|name, _| servers.iter().any(|server| server.name == *name));
+        for server in servers {
+            let key = (Arc::clone(&self.name), Arc::clone(&server.name));
+            let count = counts.get(&key).copied().unwrap_or_default();
+            let average = loads.0.entry(Arc::clone(&server.name)).or_default();
+            average.add(at, LOADS_HALF_LIFE, f64::from(count));
+        }
+    }
+
+    /// Returns the mean of the unanswered requests of other instances at a server, zero without a
+    /// fresh report.
+    fn elsewhere(&self, now: Time, server: &str) -> f64 {
+        let loads = lock(&self.loads);
+        let (averages, at) = &*loads;
+        let average = averages.get(server).filter(|_| now < *at + LOADS_AGE_MAX);
+        average.and_then(Average::sample_mean).unwrap_or_default()
+    }
+
     /// Compares the servers, logs those whose state in the placement of reads changes, and returns
     /// the states.
     pub fn review_servers(&self, now: Time) -> Vec<State> {
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -25,6 +25,8 @@
 use tokio::sync::Notify;
 use tokio::sync::OnceCell;
 
+use crate::balance;
+use crate::balance::Counts;
 use crate::failover::Leases;
 use crate::failover::Rows;
 use crate::group::Group;
@@ -225,6 +227,33 @@
         reports
     }
 
+    /// Returns this instance's unanswered requests at the servers; `None` where connections are not
+    /// scarce.
+    ///
+    /// A report without requests is sent too, since the number of reports counts.
+    pub fn server_loads(&self) -> Option<Counts> {
+        let groups = self.groups();
+        let mut loads = groups.iter().filter_map(|group| group.loads()).peekable();
+        loads.peek()?;
+        Some(balance::largest(loads.flatten().collect()))
+    }
+
+    /// Estimates the unanswered requests of all instances but `receiver`, or but this one; `None`
+    /// where connections are not scarce.
+    pub fn fleet_loads(&self, now: Time, receiver: Option<SocketAddr>) -> Option<Counts> {
+        let own = self.server_loads()?;
+        let others = lock(&self.members).len();
+        let mut reports = lock(&self.reports);
+        Some(reports.server_loads.estimate(now, &own, receiver, others))
+    }
+
+    /// Applies the unanswered requests of the other instances as of `at`.
+    pub fn apply_loads(&self, at: Time, counts: &Counts) {
+        for group in self.groups() {
+            group.on_loads(at, counts);
+        }
+    }
+
     /// Returns the peer address of another live instance.
     pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
         lock(&self.members).get(name).copied()
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::balance::Counts;
 use crate::peers::Report;
 use crate::peers::Topic;
 
@@ -100,6 +101,16 @@
         /// The view.
         view: View,
     },
+    /// The requests of the sender that servers have not answered; sent before `GetReports` where
+    /// connections are scarce.
+    ServerLoads(Counts),
+    /// The same for all instances but the receiver; sent after `Reports`.
+    FleetLoads {
+        /// The number of the query.
+        id: u64,
+        /// The requests by server.
+        counts: Counts,
+    },
 }
 
 /// An instance's view of a group.
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -266,6 +266,25 @@
                 };
                 node.peers.send(node, address, payload).await;
             }
+            if let Some(counts) = node.fleet_loads(received, Some(address)) {
+                let payload = Payload::FleetLoads { id, counts };
+                node.peers.send(node, address, payload).await;
+            }
+        }
+        Payload::ServerLoads(counts) => {
+            let now = node.now();
+            lock(&node.reports)
+                .server_loads
+                .on_report(now, address, counts);
+            if let Some(counts) = node.fleet_loads(now, None) {
+                node.apply_loads(now, &counts);
+            }
+        }
+        Payload::FleetLoads { id, counts } => {
+            let sent = lock(&node.reports).sent(id);
+            if let Some(sent) = sent {
+                node.apply_loads(sent, &counts);
+            }
         }
         Payload::Reports {
             id,
--- a/crates/relay/src/peers/report.rs
+++ b/crates/relay/src/peers/report.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::balance::Loads;
+
 /// A leader's position as reported by another instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -34,6 +36,8 @@
     is_answered: bool,
     /// Load in statements per second and when it arrived, by the address of the instance.
     loads: BTreeMap<SocketAddr, (u64, Time)>,
+    /// The servers' loads that others sent with their queries.
+    pub server_loads: Loads,
 }
 
 impl Reports {
@@ -63,6 +67,12 @@
         Some(sent)
     }
 
+    /// Returns when the query with this number was sent; `None` if it is not the latest one.
+    pub fn sent(&self, id: u64) -> Option<Time> {
+        let (latest, sent) = self.outstanding?;
+        (latest == id).then_some(sent)
+    }
+
     /// Returns whether the latest query was answered.
     pub fn is_answered(&self) -> bool {
         self.is_answered
--- a/crates/relay/src/task/reports.rs
+++ b/crates/relay/src/task/reports.rs
@@ -76,6 +76,11 @@
 
 /// Sends a query; returns whether a response arrived.
 async fn query(node: &Arc<Node>, address: SocketAddr) -> bool {
+    if let Some(counts) = node.server_loads() {
+        node.peers
+            .send(node, address, Payload::ServerLoads(counts))
+            .await;
+    }
     let id = lock(&node.reports).query(node.now());
     let load = lock(&node.load).per_second();
     let payload = Payload::GetReports { id, load };
--- a/crates/relay/tests/relay/balance.rs
+++ b/crates/relay/tests/relay/balance.rs
@@ -10,14 +10,22 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use relay::balance::Average;
 use relay::balance::Balance;
 use relay::balance::Candidate;
+use relay::balance::Counts;
+use relay::balance::LOADS_AGE_MAX;
+use relay::balance::LOADS_HALF_LIFE;
+use relay::balance::Loads;
 use relay::balance::Record;
 use relay::balance::Standing;
 use relay::balance::State;
 use relay::balance::Summary;
+use relay::balance::largest;
 use relay::group::Health;
 use relay::message::Code;
+use relay::peers::Datagram;
+use relay::peers::Payload;
 use test_case::test_case;
 
 /// The time of a healthy server for a read, and for opening a connection.
@@ -80,6 +88,10 @@
     next: u64,
     random: ChaCha8Rng,
     is_scarce: bool,
+    /// Whether instances report their requests to each other.
+    has_reports: bool,
+    /// When the latest reports were sent, and each server's unanswered requests in them.
+    reported: (Time, [Average; 3]),
     sent: Vec<Sent>,
 }
 
@@ -96,6 +108,8 @@
             next: 0,
             random: ChaCha8Rng::seed_from_u64(7),
             is_scarce,
+            has_reports: false,
+            reported: (Time::ZERO, [Average::default(); 3]),
             sent: Vec::new(),
         }
     }
@@ -113,6 +127,7 @@
             let mean_us = 1_000_000 / (reads + writes);
             now = now + Span::from_micros(self.random.random_range(0..2 * mean_us));
             self.finish_until(now);
+            self.report(now);
             let instance = self.random.random_range(0..self.instances.len());
             if self.random.random_range(0..reads + writes) < writes {
                 self.start(now, instance, 0, Answer::Success(READ_MS), true, true);
@@ -123,6 +138,20 @@
         self.finish_until(Time::NEVER);
     }
 
+    fn report(&mut self, now: Time) {
+        if !self.has_reports || now < self.reported.0 + Span::from_millis(400) {
+            return;
+        }
+        let mut counts = [0_u32; 3];
+        for running in self.running.values() {
+            counts[running.server] += 1;
+        }
+        self.reported.0 = now;
+        for (average, count) in self.reported.1.iter_mut().zip(counts) {
+            average.add(now, LOADS_HALF_LIFE, f64::from(count));
+        }
+    }
+
     fn read(&mut self, now: Time, instance: usize, answer: &impl Fn(usize, Time, u64) -> Answer) {
         let mut tried = BTreeSet::new();
         while let Some((server, has_idle)) = self.choose(now, instance, &tried) {
@@ -168,6 +197,7 @@
                 server: name(index),
                 summary: health.record.summary(now),
                 waiting: health.outstanding_batches(),
+                elsewhere: self.reported.1[index].sample_mean().unwrap_or_default(),
                 writes: health.outstanding_commits(),
                 slots: SLOTS,
                 has_idle: !self.is_scarce || self.random.random_range(0..IDLE_IN) == 0,
@@ -386,6 +416,7 @@
         server: name(index),
         summary: Summary::default(),
         waiting: 0,
+        elsewhere: 0.0,
         writes: 0,
         slots: SLOTS,
         has_idle: true,
@@ -530,3 +561,92 @@
         "{faded:?}"
     );
 }
+
+fn counts(server: usize, count: u32) -> Counts {
+    Counts::from([((Arc::from("g"), name(server)), count)])
+}
+
+/// Guards against an estimate that misses the instances that report elsewhere, that counts the
+/// receiver's own requests twice, or that lasts longer than the queue it tells of.
+#[test]
+fn the_load_of_the_other_instances_is_estimated_from_fresh_reports() {
+    let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let mut loads = Loads::default();
+    loads.on_report(at(1_000), address(1), counts(1, 4));
+    loads.on_report(at(1_000), address(2), counts(1, 2));
+    let own = counts(1, 6);
+    // Instance 1 asks: the other reporter and the estimating instance stand for all 10 others.
+    let estimate = loads.estimate(at(1_100), &own, Some(address(1)), 10);
+    assert_eq!(estimate, counts(1, 40));
+    let estimate = loads.estimate(at(1_100), &own, None, 10);
+    assert_eq!(estimate, counts(1, 30));
+    let stale = loads.estimate(at(1_000) + LOADS_AGE_MAX, &own, None, 10);
+    assert_eq!(stale, Counts::new());
+}
+
+/// Load pattern: another instance's requests fill a server. Guards against a choice that knows only
+/// this instance's own requests.
+#[test]
+fn a_server_that_is_busy_for_other_instances_is_avoided() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut busy = candidate(1);
+    busy.elsewhere = 12.0;
+    let servers = [busy, candidate(2)];
+    let balance = Balance::default();
+    let mut chosen = 0;
+    for _ in 0..200 {
+        chosen += usize::from(balance.choose(&servers, true, &mut random) == Some(0));
+    }
+    assert!(chosen < 10, "{chosen} of 200");
+    assert_eq!(balance.choose(&servers, false, &mut random), Some(1));
+}
+
+/// Load pattern: one of two replicas is lost under load that the other can't serve alone. Guards
+/// against reports, each used for 400 ms, that make all instances change to and fro together.
+#[test]
+fn reports_of_the_load_do_not_make_instances_herd() {
+    let mut slow = Vec::new();
+    for has_reports in [false, true] {
+        let mut site = Site::open(77, true);
+        site.has_reports = has_reports;
+        site.run(21_000, 150, 10, |server, now, _| {
+            if server == 1 && now >= at(6_000) {
+                Answer::None
+            } else {
+                Answer::Success(READ_MS)
+            }
+        });
+        let late = site.sent.iter().filter(|sent| sent.at >= at(6_000));
+        let took: Vec<u64> = late
+            .filter_map(|sent| Some(sent.took?.as_millis()))
+            .collect();
+        assert!(took.len() > 2_000, "{}", took.len());
+        slow.push(took.iter().filter(|ms| **ms > 100).count());
+    }
+    assert!(slow[1] * 10 <= slow[0], "{slow:?}");
+}
+
+/// Guards against a report of many servers that is cut off at the size of a datagram.
+#[test]
+fn a_report_of_many_servers_keeps_the_busiest_and_fits_into_a_datagram() {
+    let group: Arc<str> = Arc::from("group-with-20-bytes-");
+    let counts: Counts = (1..100)
+        .map(|count| {
+            let server: Arc<str> = Arc::from(format!("server-of-20-bytes{count:02}"));
+            ((Arc::clone(&group), server), count)
+        })
+        .collect();
+    let counts = largest(counts);
+    assert!(counts.values().all(|count| *count > 75), "{counts:?}");
+    let datagram = Datagram {
+        from: Arc::from("instance-of-20-bytes"),
+        payload: Payload::FleetLoads {
+            id: u64::MAX,
+            counts,
+        },
+    };
+    let bytes = postcard::to_stdvec(&datagram).expect("a datagram");
+    assert!(bytes.len() + 16 <= 1_400, "{} bytes", bytes.len());
+    let parsed: Datagram = postcard::from_bytes(&bytes).expect("a datagram");
+    assert_eq!(parsed, datagram);
+}
--- a/crates/relay/tests/relay/reports.rs
+++ b/crates/relay/tests/relay/reports.rs
@@ -8,7 +8,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::world::GROUP;
 use crate::world::World;
+use crate::world::revision;
 
 /// The number of instances that probe leaders in a small fleet.
 const PROBERS: usize = 2;
@@ -44,6 +46,32 @@
     }
 }
 
+/// Guards against reports of the servers' loads, sent where connections are scarce, that make
+/// instances lose the reports of the leaders' positions or refuse each other's datagrams.
+#[tokio::test]
+async fn instances_with_scarce_connections_still_get_reports_and_read() {
+    let world = World::open();
+    let mut scarce = revision(2);
+    let group = scarce.groups.get_mut(GROUP).expect("a group");
+    group.max_connections = 8;
+    world.set_revision(scarce);
+    let mut instances = Vec::new();
+    for name in ["i1", "i2", "i3", "i4", "i5", "i6"] {
+        instances.push(world.spawn(name));
+    }
+    sleep(Duration::from_secs(6)).await;
+    world.group.take_probers();
+    for _ in 0..10 {
+        for instance in &instances {
+            let mut client = instance.connect("gallery").await;
+            client.read("x").await.expect("a read");
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    let probers = world.group.take_probers();
+    assert_eq!(probers.len(), PROBERS, "{probers:?}");
+}
+
 #[test]
 fn only_the_response_to_the_latest_query_counts() {
     let at = |millis: u64| Time::ZERO + Span::from_millis(millis);
