--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -13,8 +13,17 @@
 use clock::Time;
 use endpoint::Position;
 use endpoint::Role;
+use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::balance::Average;
+use crate::balance::Balance;
+use crate::balance::Candidate;
+use crate::balance::Counts;
+use crate::balance::LOADS_AGE_MAX;
+use crate::balance::LOADS_HALF_LIFE;
+use crate::balance::State;
+use crate::balance::Summary;
 use crate::evacuation::Evacuations;
 use crate::external::Connector;
 use crate::external::Target;
@@ -48,13 +57,6 @@
 const STATEMENTS_PER_SLOT: usize = 4;
 /// Concurrent statements that an instance may always send to a server.
 const STATEMENTS_MIN: usize = 2;
-/// Cost of reading from the leader, in units of one waiting request: the leader also serves all
-/// writes.
-const LEADER_COST: usize = 3;
-/// Cost of opening a connection, in the same unit.
-const OPEN_COST: usize = 2;
-/// Cost of reading from another availability zone, in the same unit.
-const ZONE_COST: usize = 1;
 
 /// A server whose entry was removed from the store or expired.
 #[derive(Clone, Debug)]
@@ -82,6 +84,12 @@
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
     /// Servers whose entries were removed, by id; they may still hold commits.
     removed: Mutex<BTreeMap<Arc<str>, Removed>>,
+    /// Chooses the servers for reads.
+    balance: Mutex<Balance>,
+    /// Unanswered requests of other instances by server, and as of when they were reported last.
+    loads: Mutex<(BTreeMap<Arc<str>, Average>, Time)>,
+    /// Whether there are too few connections for every instance to keep some.
+    is_scarce: AtomicBool,
     /// Notified when the leader or the servers change.
     pub changed: Notify,
     /// Decides when the leader must be replaced.
@@ -121,6 +129,9 @@
             leader_lease: (fencing == Fencing::Unchecked).then(Mutex::default),
             servers: Mutex::default(),
             removed: Mutex::default(),
+            balance: Mutex::default(),
+            loads: Mutex::default(),
+            is_scarce: AtomicBool::new(false),
             changed: Notify::new(),
             detector: Mutex::default(),
             recheck: Mutex::default(),
@@ -281,6 +292,7 @@
     /// Limits this instance to its share of the `total` connections to each server, and its
     /// concurrent statements in proportion.
     pub fn set_connection_share(&self, now: Time, share: Share, total: usize) {
+        self.is_scarce.store(share.is_scarce(), Ordering::Relaxed);
         for server in self.servers() {
             let slots = lock(&server.entry).slots;
             let statements =
@@ -379,7 +391,7 @@
         first
     }
 
-    /// Returns the cheapest server for a read that needs `floor`, leaving out those in `tried`.
+    /// Chooses a server for a read that needs `floor`, leaving out those in `tried`.
     pub fn choose_reader(
         &self,
         now: Time,
@@ -387,23 +399,123 @@
         account: &str,
         zone: &str,
         tried: &BTreeSet<Arc<str>>,
+        random: &mut impl Rng,
     ) -> Option<Arc<Server>> {
         let leader = lock(&self.leadership).server().cloned();
-        self.servers()
+        self.review_servers(now);
+        let mut servers: Vec<Arc<Server>> = self
+            .servers()
             .into_iter()
             .filter(|server| !tried.contains(&server.name) && !server.is_draining())
             .filter(|server| !server.is_evacuated() && self.may_send(server))
             .filter(|server| lock(&server.health).can_serve(now, floor))
-            .min_by_key(|server| {
-                let is_leader = leader.as_ref() == Some(&server.name);
-                let waiting = lock(&server.health).outstanding_batches() + server.pool.queue_len();
-                let must_open = !server.pool.has_idle(account);
-                let is_far = *server.zone() != *zone;
-                waiting
-                    + usize::from(is_leader) * LEADER_COST
-                    + usize::from(must_open) * OPEN_COST
-                    + usize::from(is_far) * ZONE_COST
+            .collect();
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| self.candidate(now, server, leader.as_ref(), account, zone))
+            .collect();
+        let is_scarce = self.is_scarce.load(Ordering::Relaxed);
+        let index = lock(&self.balance).choose(&candidates, is_scarce, random)?;
+        Some(servers.swap_remove(index))
+    }
+
+    fn candidate(
+        &self,
+        now: Time,
+        server: &Server,
+        leader: Option<&Arc<str>>,
+        account: &str,
+        zone: &str,
+    ) -> Candidate {
+        let (summary, unanswered, writes) = {
+            let health = lock(&server.health);
+            (
+                health.record.summary(now),
+                health.outstanding_batches(),
+                health.outstanding_commits(),
+            )
+        };
+        // A guard in the expression below would last until its end, and `zone` locks the entry too.
+        let slots = lock(&server.entry).slots;
+        Candidate {
+            server: Arc::clone(&server.name),
+            summary,
+            waiting: unanswered + server.pool.queue_len(),
+            elsewhere: self.elsewhere(now, &server.name),
+            writes,
+            slots,
+            has_idle: server.pool.has_idle(account),
+            is_far: *server.zone() != *zone,
+            is_leader: leader == Some(&server.name),
+        }
+    }
+
+    /// Returns this instance's unanswered requests by server; `None` where connections are not
+    /// scarce, as reports would cost more there than they tell.
+    pub fn loads(&self) -> Option<Counts> {
+        if !self.is_scarce.load(Ordering::Relaxed) {
+            return None;
+        }
+        let count = |server: Arc<Server>| {
+            let unanswered = lock(&server.health).outstanding_batches();
+            let key = (Arc::clone(&self.name), Arc::clone(&server.name));
+            (key, u32::try_from(unanswered).unwrap_or(u32::MAX))
+        };
+        Some(self.servers().into_iter().map(count).collect())
+    }
+
+    /// Applies the unanswered requests of other instances as of `at`.
+    pub fn on_loads(&self, at: Time, counts: &Counts) {
+        let servers = self.servers();
+        let mut loads = lock(&self.loads);
+        loads.1 = loads.1.max(at);
+        loads
+            .0
+            .retain(|name, _| servers.iter().any(|server| server.name == *name));
+        for server in servers {
+            let key = (Arc::clone(&self.name), Arc::clone(&server.name));
+            let count = counts.get(&key).copied().unwrap_or_default();
+            let average = loads.0.entry(Arc::clone(&server.name)).or_default();
+            average.add(at, LOADS_HALF_LIFE, f64::from(count));
+        }
+    }
+
+    /// Returns the mean of the unanswered requests of other instances at a server, zero without a
+    /// fresh report.
+    fn elsewhere(&self, now: Time, server: &str) -> f64 {
+        let loads = lock(&self.loads);
+        let (averages, at) = &*loads;
+        let average = averages.get(server).filter(|_| now < *at + LOADS_AGE_MAX);
+        average.and_then(Average::sample_mean).unwrap_or_default()
+    }
+
+    /// Compares the servers, logs those whose state in the placement of reads changes, and returns
+    /// the states.
+    pub fn review_servers(&self, now: Time) -> Vec<State> {
+        let summaries: BTreeMap<Arc<str>, Summary> = self
+            .servers()
+            .into_iter()
+            .map(|server| {
+                let summary = lock(&server.health).record.summary(now);
+                (Arc::clone(&server.name), summary)
             })
+            .collect();
+        let mut balance = lock(&self.balance);
+        for change in balance.review(now, &summaries) {
+            let event = match change.state {
+                State::Normal => "server-recovered",
+                State::Outlier => "server-outlier",
+                State::Recovering => "server-recovering",
+            };
+            log::info!(
+                "event={event} group={} server={} failure_rate={:.2} reply_ms={:.0}",
+                self.name,
+                change.server,
+                change.summary.failure_rate,
+                change.summary.reply_ms
+            );
+        }
+        summaries.keys().map(|name| balance.state(name)).collect()
     }
 
     /// Applies a reply that only a leader can give, to a request sent at `sent`.
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use crate::balance::State;
 use crate::message::Code;
 use crate::metrics::Calls;
 use crate::node::lock;
@@ -42,6 +43,13 @@
     reason: String,
 }
 
+/// The label of a server's state in the placement of reads.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Placement {
+    /// `normal`, `outlier` or `recovering`.
+    state: String,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -52,6 +60,7 @@
     pub waiting: Gauge,
     /// Requests that were given a connection to a server.
     pub admitted: Counter,
+    servers: Family<Placement, Gauge>,
     /// Open sessions.
     pub sessions: Gauge,
     /// Bytes sent to other instances.
@@ -85,6 +94,7 @@
             refusals: Family::default(),
             waiting: Gauge::default(),
             admitted: Counter::default(),
+            servers: Family::default(),
             sessions: Gauge::default(),
             peer_bytes: Counter::default(),
             leader_questions: Counter::default(),
@@ -123,6 +133,11 @@
             "Requests that were given a connection to a server",
             metrics.admitted.clone(),
         );
+        registry.register(
+            "servers",
+            "Servers by state in the placement of reads",
+            metrics.servers.clone(),
+        );
         registry.register("sessions", "Open sessions", metrics.sessions.clone());
         registry.register(
             "peer_bytes",
@@ -197,6 +212,20 @@
         here.saturating_sub(self.forwarded.get())
     }
 
+    /// Sets the numbers of servers by their states in the placement of reads.
+    pub fn set_servers(&self, states: impl Iterator<Item = State>) {
+        let mut counts = [State::Normal, State::Outlier, State::Recovering].map(|state| (state, 0));
+        for state in states {
+            for (_, count) in counts.iter_mut().filter(|(known, _)| *known == state) {
+                *count += 1;
+            }
+        }
+        for (state, count) in counts {
+            let state = state.to_string();
+            self.servers.get_or_create(&Placement { state }).set(count);
+        }
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/relay/src/node/share.rs
+++ b/crates/relay/src/node/share.rs
@@ -58,7 +58,7 @@
         Some(kept.clamp(IDLE_MIN, IDLE_MAX))
     }
 
-    /// Returns whether connections are scarce: there are fewer than two for each instance.
+    /// Returns whether there are fewer than two connections for each instance.
     pub fn is_scarce(self) -> bool {
         self.even_milli < SCARCE_SHARE
     }
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::balance::Counts;
 use crate::peers::Change;
 use crate::peers::Report;
 use crate::peers::Topic;
@@ -126,6 +127,16 @@
         /// The entries; `None` stands for a removed one.
         changes: Vec<Change>,
     },
+    /// The requests of the sender that servers have not answered; sent before `GetReports` where
+    /// connections are scarce.
+    ServerLoads(Counts),
+    /// The same for all instances but the receiver; sent after `Reports`.
+    FleetLoads {
+        /// The number of the query.
+        id: u64,
+        /// The requests by server.
+        counts: Counts,
+    },
 }
 
 /// An instance's view of a group.
--- a/crates/relay/src/pool/pool.rs
+++ b/crates/relay/src/pool/pool.rs
@@ -139,6 +139,7 @@
         priority: u32,
         admission: Admission,
     ) -> Result<Connection, Error> {
+        let begun = self.clock.now();
         let grant = match self.take_or_enqueue(account, priority, &admission)? {
             Acquisition::Ready(grant) => grant,
             Acquisition::Queued(receiver) => {
@@ -149,6 +150,7 @@
                     Ok(Ok(grant)) => grant,
                     Ok(Err(_)) => return Err(self.unavailable()),
                     Err(_) => {
+                        self.on_wait(begun);
                         let now = self.clock.now();
                         let mut queue = lock(&self.queue);
                         return Err(self.overloaded(now, &mut queue, priority, &admission));
@@ -156,9 +158,15 @@
                 }
             }
         };
+        self.on_wait(begun);
         self.open_or_reuse(grant, account, admission.deadline).await
     }
 
+    /// Records how long a request has waited, which the placement of reads considers.
+    fn on_wait(&self, begun: Time) {
+        lock(&self.health).record.on_wait(self.clock.now(), begun);
+    }
+
     /// Returns the granted connection if it is reusable, otherwise opens one with its permit.
     async fn open_or_reuse(
         self: &Arc<Self>,
@@ -369,6 +377,8 @@
                 health.on_reply(now, None);
                 if code == Code::TooManyConnections {
                     health.on_connections_exhausted(now);
+                } else {
+                    health.record.on_failure(now);
                 }
                 return Err(error);
             }
