Read the appointments once the registration is committed

Cause: a leader lease needs a read of the appointments that began after the instance's registration. At a start they were read 10 ms after the process began, the registration was committed some 60 ms later, and the next read came after 700 ms. Until then every instance refused reads of the latest state ("can't find out whether the group's primary was replaced", 50 to 75 logged refusals after each restart of all). Change: a committed registration makes the appointments be read at once. The test fails without it.

--- a/crates/relay/src/task/limiter.rs
+++ b/crates/relay/src/task/limiter.rs
@@ -112,7 +112,16 @@
                     let commit = node.dependencies.table.commit(conditions, writes);
                     let result = timeout(CALL_TIMEOUT, commit).await;
                     let result = result.unwrap_or_else(|_| Err(timed_out("commit slices")));
-                    lock(&node.limiter).on_commit(node.now(), id, result);
+                    let is_registered = {
+                        let mut limiter = lock(&node.limiter);
+                        let since = limiter.registration().since;
+                        limiter.on_commit(node.now(), id, result);
+                        limiter.registration().since != since
+                    };
+                    if is_registered {
+                        // A leader lease needs a read of the appointments after the registration.
+                        node.leader_appointed.notify_one();
+                    }
                 });
             }
         }
--- a/crates/relay/tests/relay/deposed.rs
+++ b/crates/relay/tests/relay/deposed.rs
@@ -52,6 +52,21 @@
     }
 }
 
+/// Instances refused reads of the latest state for 0.7 s after each start, as they read who leads
+/// before their registration and then not until the next interval.
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_accepts_callers_may_read_at_the_primary() {
+    let world = World::open_unchecked();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    drop(client);
+    instance.crash().await;
+    let instance = world.spawn("i1");
+    let mut client = instance.connect("orders").await;
+    assert_eq!(client.read("x").await.as_deref(), Ok("1"));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_replaced_primary_that_goes_on_is_not_read() {
     let world = World::open_unchecked();
