Keep the slices of an earlier life whole, and use them as soon as its loans have expired

An instance that took its former row over still counted the earlier life as a member, so it gave up one of eight slices, waited 200 ms from the takeover for loans that had expired 200 ms after the earlier life's end, and noticed the end of that wait at one of two timers of 50 ms; the first step came 50 ms after the start. Change: the earlier life gets no part of the slices; slices from its row count as idle since the start of this one; the limiter steps at once, and every 10 ms until the first slices can be used. The new test fails without the change.

--- a/crates/account/src/rate/slices/lease.rs
+++ b/crates/account/src/rate/slices/lease.rs
@@ -35,6 +35,11 @@
     /// Newly acquired slices, which are not used before `active_from`.
     activating: u64,
     active_from: Time,
+    /// The slices of an earlier life of the instance that the last attempted write takes over.
+    inherited: u64,
+    /// From when these can be used: all loans of the earlier life have expired by then, since it had
+    /// ended when this one began to listen.
+    inherited_from: Time,
     /// Serial of the last attempted write.
     last_serial: u64,
 }
@@ -51,6 +56,8 @@
             promises: BTreeMap::new(),
             activating: 0,
             active_from: Time::ZERO,
+            inherited: 0,
+            inherited_from: Time::NEVER,
             last_serial: 0,
         }
     }
@@ -76,9 +83,16 @@
         self.last_serial.max(confirmed_serial) + 1
     }
 
-    /// Records a write that is about to be sent.
-    pub fn on_write_sent(&mut self, row: Row) {
+    /// Records that this life listens on its address since `now` at the latest.
+    pub fn on_started(&mut self, now: Time, policy: &Policy) {
+        self.inherited_from = self.inherited_from.min(now + policy.activation_delay);
+    }
+
+    /// Records a write that is about to be sent and takes over the slices in `inherited` from an
+    /// earlier life of the instance.
+    pub fn on_write_sent(&mut self, row: Row, inherited: u64) {
         self.last_serial = row.serial;
+        self.inherited = inherited;
         self.in_doubt.push(row);
     }
 
@@ -175,7 +189,12 @@
         let gained = self.slices() & !before;
         if gained != 0 {
             self.activating |= gained;
-            self.active_from = now + policy.activation_delay;
+            let delayed_until = now + policy.activation_delay;
+            self.active_from = match gained & !self.inherited {
+                0 => self.inherited_from.min(delayed_until),
+                _ => delayed_until,
+            };
         }
+        self.inherited = 0;
     }
 }
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -168,6 +168,7 @@
     /// Performs due work and returns the resulting actions.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.lease.on_started(now, &self.policy);
         self.elector.tick(now);
         self.requests
             .tick(now, self.policy.promise, &self.view.rows);
@@ -608,15 +609,22 @@
         Some(self.commit(now, plan))
     }
 
+    /// Returns whether a row is that of an earlier life of this instance, which has ended, since this
+    /// process listens on its address.
+    fn is_earlier_life(&self, row: &Row) -> bool {
+        row.address == self.address && row.member.name == self.local.name
+    }
+
     /// Returns the rows that can be taken over now.
     fn takeovers(&self, now: Time) -> BTreeMap<Arc<str>, Takeover> {
         let mut takeovers = BTreeMap::new();
         for (key, observed) in &self.view.rows {
             let row = &observed.row;
-            // This process listens on the address, so the earlier life with it has ended.
-            let is_earlier_life = row.address == self.address && row.member.name == self.local.name;
             let is_empty = row.slices() == 0 && observed.has_lapsed(now, &self.policy);
-            if is_earlier_life || is_empty || observed.has_long_lease_lapsed(now, &self.policy) {
+            if self.is_earlier_life(row)
+                || is_empty
+                || observed.has_long_lease_lapsed(now, &self.policy)
+            {
                 takeovers.insert(Arc::clone(key), Takeover::All);
                 continue;
             }
@@ -644,7 +652,13 @@
         };
         let transaction =
             Transaction::renew(&self.key, confirmed, &row, &self.view, &plan.takeovers);
-        self.lease.on_write_sent(row);
+        let inherited = plan
+            .takeovers
+            .keys()
+            .map(|key| &self.view.rows[key].row)
+            .filter(|row| self.is_earlier_life(row))
+            .fold(0, |slices, row| slices | row.slices());
+        self.lease.on_write_sent(row, inherited);
         self.begin_commit(now, transaction, false)
     }
 
@@ -661,7 +675,7 @@
             mobile: 0,
             ..confirmed.row
         };
-        self.lease.on_write_sent(row);
+        self.lease.on_write_sent(row, 0);
         Some(self.begin_commit(now, transaction, true))
     }
 
--- a/crates/account/src/rate/slices/plan.rs
+++ b/crates/account/src/rate/slices/plan.rs
@@ -63,7 +63,8 @@
         let kept = match takeovers.get(key) {
             None => observed.row.slices(),
             Some(Takeover::Mobile) => observed.row.pinned,
-            Some(Takeover::All) => 0,
+            // The holder has ended, so it gets no part of the slices.
+            Some(Takeover::All) => continue,
         };
         occupied |= kept;
         if !observed.has_lapsed(now, policy) {
--- a/crates/account/tests/rate/traps.rs
+++ b/crates/account/tests/rate/traps.rs
@@ -97,6 +97,18 @@
     assert_eq!(world.slices().iter().sum::<u32>(), SLICE_COUNT);
 }
 
+/// Each instance gave up one of its eight slices when all restarted, since its earlier life still
+/// counted as a member, and used none for as long as it takes loans to expire after the takeover.
+#[test]
+fn instances_that_restart_together_keep_their_slices() {
+    let mut world = settled();
+    (0..FLEET).for_each(|index| world.kill(index));
+    (0..FLEET).for_each(|index| world.start(index));
+    // Slices can be used 100 ms after the start.
+    world.run(Span::from_millis(110), 0, |_| 0);
+    assert_eq!(world.slices(), vec![8; FLEET]);
+}
+
 #[test]
 fn a_new_instance_without_slices_borrows() {
     let mut world = settled();
--- a/crates/relay/src/task/limiter.rs
+++ b/crates/relay/src/task/limiter.rs
@@ -18,6 +18,8 @@
 
 /// Maximum time between two steps; loans are requested immediately when a request waits.
 const STEP_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two steps until the first slices can be used; callers wait for these.
+const FIRST_SLICES_PERIOD: Duration = Duration::from_millis(10);
 /// Maximum time that a planned stop waits for its slices to be released.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -51,7 +53,6 @@
 /// Steps the limiter until the process ends, when notified or after `STEP_PERIOD`.
 pub async fn run(node: Arc<Node>) {
     loop {
-        let _elapsed = timeout(STEP_PERIOD, node.limiter_due.notified()).await;
         let actions = {
             let mut limiter = lock(&node.limiter);
             if node.on_members(limiter.members()) {
@@ -61,13 +62,15 @@
             limiter.tick(node.now())
         };
         execute(&node, actions).await;
+        let _elapsed = timeout(STEP_PERIOD, node.limiter_due.notified()).await;
     }
 }
 
 /// Waits until this instance holds usable slices.
 pub async fn wait_for_slices(node: &Node) {
     while lock(&node.limiter).schedule().slice_count(node.now()) == 0 {
-        tokio::time::sleep(STEP_PERIOD).await;
+        tokio::time::sleep(FIRST_SLICES_PERIOD).await;
+        node.limiter_due.notify_one();
     }
 }
 
