Answer every request of a stopping instance before its sessions are cut

Change: once an instance stops, statements must be answered 100 ms before its sessions are cut; one that waits is then told that it did not run, one that was sent gets its time-out. The test fails without the change.

--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -25,6 +26,7 @@
 use store::Progress;
 use tokio::sync::Notify;
 use tokio::sync::OnceCell;
+use tokio::time::Instant;
 
 use crate::balance;
 use crate::balance::Counts;
@@ -140,6 +142,8 @@
     pub settings_reply: Mutex<Arc<Progress>>,
     /// Whether the process is stopping.
     pub is_stopping: AtomicBool,
+    /// Until when every request must be answered; set once the process is stopping.
+    answer_until: OnceLock<Instant>,
     /// Notified when a caller is refused because the validity of its key is unknown.
     pub key_unknown: Notify,
     /// Notified when settings were applied.
@@ -199,6 +203,7 @@
             readiness: Mutex::default(),
             settings_reply: Mutex::default(),
             is_stopping: AtomicBool::new(false),
+            answer_until: OnceLock::new(),
             key_unknown: Notify::new(),
             applied: Notify::new(),
             drain: Notify::new(),
@@ -213,6 +218,20 @@
         self.dependencies.clock.now()
     }
 
+    /// Sets until when every request must be answered, as the process ends then; only the first call
+    /// has an effect.
+    pub fn answer_until(&self, until: Instant) {
+        self.answer_until.get_or_init(|| until);
+    }
+
+    /// Returns when a statement that arrives now and may take `timeout` must be answered.
+    pub fn statement_deadline(&self, timeout: Span) -> Instant {
+        let deadline = Instant::now() + timeout.into();
+        self.answer_until
+            .get()
+            .map_or(deadline, |until| deadline.min(*until))
+    }
+
     /// Returns this run of the instance, as failover leases name it.
     pub fn run(&self) -> Run<'_> {
         Run {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -43,6 +43,9 @@
 /// A stopping instance serves at least this long, until load balancers have noticed: they probe
 /// once a second and need two failures.
 const DRAIN_MIN: Duration = Duration::from_millis(2_500);
+/// Every request is answered this long before the sessions of a stopping instance are cut, which
+/// leaves time to send the reply.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Time reserved for returning the rate limit slices at the end of a stop.
 const SLICE_RELEASE_TIME: Duration = Duration::from_millis(1_000);
 
@@ -223,10 +226,12 @@
     let begun = Instant::now();
     node.is_stopping.store(true, Ordering::Relaxed);
     let last = begun + limit.saturating_sub(SLICE_RELEASE_TIME);
+    let cut = last + SLICE_RELEASE_TIME / 2;
+    node.answer_until(cut - LAST_ANSWER_MARGIN);
     drain_sessions(node, begun + DRAIN_MIN, last).await;
     // From here on new callers are refused at once and connect to another instance.
     accepting.abort();
-    drain_sessions(node, Instant::now(), last + SLICE_RELEASE_TIME / 2).await;
+    drain_sessions(node, Instant::now(), cut).await;
     log::info!("event=sessions-ended left={}", node.metrics.sessions.get());
     task::release_slices(node).await;
 }
--- a/crates/relay/src/session/session.rs
+++ b/crates/relay/src/session/session.rs
@@ -8,7 +8,6 @@
 use clock::Span;
 use clock::Time;
 use endpoint::Position;
-use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::external::Caller;
@@ -346,7 +345,7 @@
             definition,
             values: &self.values,
             arrived,
-            deadline: Instant::now() + route.statement_timeout.into(),
+            deadline: self.node.statement_deadline(route.statement_timeout),
             last_commit: self.last_commit,
         }
     }
--- a/crates/relay/tests/relay/stops.rs
+++ b/crates/relay/tests/relay/stops.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use relay::message::Code;
 use relay::message::Statement;
+use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -62,3 +64,26 @@
         .await
         .expect("it waited for the start");
 }
+
+/// A request that came late in a stop waited for a primary until the process ended, and its caller
+/// got no answer.
+#[tokio::test(start_paused = true)]
+async fn a_request_late_in_a_stop_is_answered_before_the_end() {
+    let world = World::open();
+    let mut instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    // Nobody can be promoted without `b`.
+    world.group.crash("b");
+    world.group.crash("a");
+    instance.stop();
+    let begun = Instant::now();
+    // The slices are released in the last half second of the six.
+    let end = begun + Duration::from_millis(5_500);
+    while Instant::now() < end {
+        let failure = client.write("y", "1").await.expect_err("no primary");
+        assert_eq!(failure.code, Code::Busy, "{failure:?}");
+        assert!(Instant::now() < end, "{:?}", begun.elapsed());
+        sleep(Duration::from_millis(10)).await;
+    }
+}
