--- a/crates/relay/src/forward/forwarder.rs
+++ b/crates/relay/src/forward/forwarder.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// Keeps a link to each peer while connections are scarce.
+/// Keeps a link to each peer while statements of any group are forwarded.
 pub async fn keep_links(node: Arc<Node>) {
     let mut tasks: JoinSet<(Arc<str>, SocketAddr)> = JoinSet::new();
     let forwarder = &node.forwarder;
--- a/crates/relay/src/forward/router.rs
+++ b/crates/relay/src/forward/router.rs
@@ -22,8 +22,8 @@
     name: Arc<str>,
     /// The other live instances of the zone that accept statements, by name.
     peers: BTreeMap<Arc<str>, Peer>,
-    /// The groups to whose servers connections are scarce.
-    scarce: BTreeSet<Arc<str>>,
+    /// The groups to whose servers an instance can't keep a connection for each account.
+    forwarded: BTreeSet<Arc<str>>,
     /// All instances of the zone in the order of their responsibility, ranked when first needed
     /// after a change of the members.
     orders: BTreeMap<Key, Arc<[Arc<str>]>>,
@@ -35,7 +35,7 @@
         Self {
             name: Arc::clone(name),
             peers: BTreeMap::new(),
-            scarce: BTreeSet::new(),
+            forwarded: BTreeSet::new(),
             orders: BTreeMap::new(),
         }
     }
@@ -59,18 +59,18 @@
         true
     }
 
-    /// Updates whether the connections to a group's servers are scarce.
-    pub fn on_share(&mut self, group: &Arc<str>, is_scarce: bool) {
-        if is_scarce {
-            self.scarce.insert(Arc::clone(group));
+    /// Updates whether statements of a group are forwarded.
+    pub fn on_share(&mut self, group: &Arc<str>, is_forwarded: bool) {
+        if is_forwarded {
+            self.forwarded.insert(Arc::clone(group));
         } else {
-            self.scarce.remove(group);
+            self.forwarded.remove(group);
         }
     }
 
     /// Returns whether statements of any group are forwarded.
     pub fn is_active(&self) -> bool {
-        !self.scarce.is_empty()
+        !self.forwarded.is_empty()
     }
 
     /// Returns the peer that runs the statements of an account at a group; `None` if this instance
@@ -81,7 +81,7 @@
         account: &Arc<str>,
         group: &Arc<str>,
     ) -> Option<Arc<str>> {
-        if !self.scarce.contains(group) || self.peers.is_empty() {
+        if !self.forwarded.contains(group) || self.peers.is_empty() {
             return None;
         }
         let order = self.order(account, group);
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -463,14 +463,15 @@
         let others: Vec<Arc<str>> = self.peer_addresses().into_keys().collect();
         let turn = self.turn(&others);
         let own = lock(&self.load).per_second();
+        let accounts = self.revision().accounts.len();
         for group in self.groups() {
             let max_connections = lock(&group.settings).max_connections;
             let total = max_connections.saturating_sub(SPARE_CONNECTIONS);
             let share = lock(&self.shares).share(now, own, &others, total);
             group.set_connection_share(now, share, total);
             group.set_turn(turn);
-            let is_scarce = self.options.is_forwarding && share.is_scarce();
-            lock(&self.forwarder.router).on_share(&group.name, is_scarce);
+            let is_forwarded = self.options.is_forwarding && share.is_below(accounts);
+            lock(&self.forwarder.router).on_share(&group.name, is_forwarded);
         }
     }
 
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -42,8 +42,8 @@
     pub evacuation_bound: Option<Span>,
     /// How far requests to cold servers may exceed their rate.
     pub warmup_allowance: Allowance,
-    /// Whether statements are forwarded between the instances of a zone where connections are
-    /// scarce. The instance then listens at the peer address over TCP too.
+    /// Whether statements are forwarded between the instances of a zone where an instance can't keep
+    /// a connection for each account. The instance then listens at the peer address over TCP too.
     pub is_forwarding: bool,
     /// The time limit of a graceful stop.
     pub stop_timeout: Span,
--- a/crates/relay/src/node/share.rs
+++ b/crates/relay/src/node/share.rs
@@ -58,6 +58,11 @@
         Some(kept.clamp(IDLE_MIN, IDLE_MAX))
     }
 
+    /// Returns whether there are too few connections to keep one for each of `accounts` accounts.
+    pub fn is_below(self, accounts: usize) -> bool {
+        self.even_milli < MILLI.saturating_mul(accounts as u64)
+    }
+
     /// Returns whether there are fewer than two connections for each instance.
     pub fn is_scarce(self) -> bool {
         self.even_milli < SCARCE_SHARE
--- a/crates/relay/tests/relay/shares.rs
+++ b/crates/relay/tests/relay/shares.rs
@@ -204,3 +204,13 @@
     let changed = (0..3).filter_map(|_| step(&mut load, 300)).count();
     assert!(changed >= 1, "a change is reported while it happens");
 }
+
+/// With 2.6 connections for 8 accounts every second statement opened one, which holds a slot of the
+/// server as long as a statement.
+#[test]
+fn connections_are_too_few_if_not_every_account_can_keep_one() {
+    let share = Shares::default().share(at(0), 0, &names(7), 21);
+    assert!(!share.is_scarce(), "{share:?}");
+    assert!(share.is_below(3));
+    assert!(!share.is_below(2));
+}
