Plainer names around stops and failover leases; inherited slices are forgotten with a refused write

Node::this_run and Node::set_last_answer in place of run and answer_until, which read as commands. A refused write that was to take slices over no longer leaves its mask behind; the next one sets it anyway.

--- a/crates/account/src/rate/slices/lease.rs
+++ b/crates/account/src/rate/slices/lease.rs
@@ -35,10 +35,13 @@
     /// Newly acquired slices, which are not used before `active_from`.
     activating: u64,
     active_from: Time,
-    /// The slices of an earlier life of the instance that the last attempted write takes over.
+    /// The slices of an earlier life of the instance that the last write takes over.
+    ///
+    /// Invariant: nonzero only while that write is pending or in doubt, so that slices acquired later
+    /// wait as usual.
     inherited: u64,
-    /// From when these can be used: all loans of the earlier life have expired by then, since it had
-    /// ended when this one began to listen.
+    /// When slices of an earlier life can be used. All of its loans have expired by then, since it had
+    /// ended before this life began to listen.
     inherited_from: Time,
     /// Serial of the last attempted write.
     last_serial: u64,
@@ -83,7 +86,8 @@
         self.last_serial.max(confirmed_serial) + 1
     }
 
-    /// Records that this life listens on its address since `now` at the latest.
+    /// Records that this life has listened on its address since `now` at the latest; only the first
+    /// call has an effect.
     pub fn on_started(&mut self, now: Time, policy: &Policy) {
         self.inherited_from = self.inherited_from.min(now + policy.activation_delay);
     }
@@ -99,6 +103,7 @@
     /// Records that the last attempted write was certainly not applied.
     pub fn on_refused(&mut self) {
         self.in_doubt.pop();
+        self.inherited = 0;
     }
 
     /// Records that the last attempted write, started at `started`, was committed.
--- a/crates/relay/src/failover/check.rs
+++ b/crates/relay/src/failover/check.rs
@@ -51,7 +51,7 @@
     let proven_at = lock(&group.leadership).proven_at();
     let Some(leader) = group.leader() else {
         return Observation {
-            is_abandoned: node.leases.is_abandoned_by(&group.name, &node.run()),
+            is_abandoned: node.leases.is_abandoned_by(&group.name, &node.this_run()),
             ..Observation::default()
         };
     };
--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -92,7 +92,7 @@
         let now = node.now();
         if !node
             .leases
-            .may_acquire(now, &group.name, row.as_ref(), &node.run())
+            .may_acquire(now, &group.name, row.as_ref(), &node.this_run())
         {
             return None;
         }
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -142,8 +142,8 @@
     pub settings_reply: Mutex<Arc<Progress>>,
     /// Whether the process is stopping.
     pub is_stopping: AtomicBool,
-    /// Until when every request must be answered; set once the process is stopping.
-    answer_until: OnceLock<Instant>,
+    /// When the last request must be answered; set once the process is stopping.
+    last_answer: OnceLock<Instant>,
     /// Notified when a caller is refused because the validity of its key is unknown.
     pub key_unknown: Notify,
     /// Notified when settings were applied.
@@ -203,7 +203,7 @@
             readiness: Mutex::default(),
             settings_reply: Mutex::default(),
             is_stopping: AtomicBool::new(false),
-            answer_until: OnceLock::new(),
+            last_answer: OnceLock::new(),
             key_unknown: Notify::new(),
             applied: Notify::new(),
             drain: Notify::new(),
@@ -218,22 +218,22 @@
         self.dependencies.clock.now()
     }
 
-    /// Sets until when every request must be answered, as the process ends then; only the first call
-    /// has an effect.
-    pub fn answer_until(&self, until: Instant) {
-        self.answer_until.get_or_init(|| until);
+    /// Sets when the last request must be answered, as the process ends soon after; only the first
+    /// call has an effect.
+    pub fn set_last_answer(&self, at: Instant) {
+        self.last_answer.get_or_init(|| at);
     }
 
     /// Returns when a statement that arrives now and may take `timeout` must be answered.
     pub fn statement_deadline(&self, timeout: Span) -> Instant {
         let deadline = Instant::now() + timeout.into();
-        self.answer_until
+        self.last_answer
             .get()
-            .map_or(deadline, |until| deadline.min(*until))
+            .map_or(deadline, |last| deadline.min(*last))
     }
 
-    /// Returns this run of the instance, as failover leases name it.
-    pub fn run(&self) -> Run<'_> {
+    /// Returns this run of the instance's process, as failover leases record it.
+    pub fn this_run(&self) -> Run<'_> {
         Run {
             name: &self.options.name,
             address: self.options.peer,
--- a/crates/relay/src/node/share.rs
+++ b/crates/relay/src/node/share.rs
@@ -58,7 +58,7 @@
         Some(kept.clamp(IDLE_MIN, IDLE_MAX))
     }
 
-    /// Returns whether there are too few connections to keep one for each of `accounts` accounts.
+    /// Returns whether an even share is too small to keep a connection for each of `accounts` accounts.
     pub fn is_below(self, accounts: usize) -> bool {
         self.even_milli < MILLI.saturating_mul(accounts as u64)
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -227,7 +227,7 @@
     node.is_stopping.store(true, Ordering::Relaxed);
     let last = begun + limit.saturating_sub(SLICE_RELEASE_TIME);
     let cut = last + SLICE_RELEASE_TIME / 2;
-    node.answer_until(cut - LAST_ANSWER_MARGIN);
+    node.set_last_answer(cut - LAST_ANSWER_MARGIN);
     drain_sessions(node, begun + DRAIN_MIN, last).await;
     // From here on new callers are refused at once and connect to another instance.
     accepting.abort();
