Read the appointments of groups that come after the last read

An instance that had read the rows before its settings arrived knew no group then; from there on others told it that nothing had changed, which confirms only what was read, so it never held a leader lease and held each read of the latest state until its limit. The fault is older: a group that settings bring later had it too. The early read at the registration made it common. Change: a group without a read makes the instance read the rows, at once when the group comes. The test fails without it.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -602,6 +602,12 @@
         lock(lease).is_expired(self.clock.now())
     }
 
+    /// Returns whether the appointment was read from the table, or isn't needed.
+    pub fn has_read_appointment(&self) -> bool {
+        let lease = self.leader_lease.as_ref();
+        lease.is_none_or(|lease| lock(lease).has_read())
+    }
+
     /// Changes the leader lease, if there is one.
     pub fn change_leader_lease(&self, change: impl FnOnce(&mut LeaderLease)) {
         if let Some(lease) = &self.leader_lease {
--- a/crates/relay/src/group/leader_lease.rs
+++ b/crates/relay/src/group/leader_lease.rs
@@ -57,6 +57,11 @@
         is_changed
     }
 
+    /// Returns whether the table was ever read.
+    pub fn has_read(&self) -> bool {
+        self.confirmed.is_some()
+    }
+
     /// Records that a table call begun at `begun` showed the same appointment as the last one.
     pub fn on_confirmed(&mut self, begun: Time) {
         if self.confirmed.is_some() {
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -644,6 +644,7 @@
                 self.options.warmup_allowance,
             );
             lock(&self.groups).insert(Arc::clone(name), Arc::clone(&group));
+            self.leader_appointed.notify_one();
             let entries = lock(&self.entries).clone();
             for (server, entry) in entries {
                 if entry.group == *name {
--- a/crates/relay/src/task/appointments.rs
+++ b/crates/relay/src/task/appointments.rs
@@ -38,6 +38,8 @@
     let mut known = None;
     loop {
         let poller = confirmation::choose_poller(&node, Topic::Leaders);
+        // Another instance confirms only what this one has read of a group.
+        known = known.filter(|_| !has_unread_group(&node));
         known = match (known, poller) {
             (Some(version), Some(poller)) => query_peer(&node, poller, version).await,
             _ => read_store(&node, known.is_some()).await,
@@ -45,6 +47,12 @@
     }
 }
 
+/// Returns whether the settings brought a group since the rows were read.
+fn has_unread_group(node: &Node) -> bool {
+    let groups = node.groups();
+    groups.iter().any(|group| !group.has_read_appointment())
+}
+
 /// Reads the rows, after a pause unless they are unknown; returns their version, `None` if the
 /// call failed.
 async fn read_store(node: &Arc<Node>, is_known: bool) -> Option<u64> {
--- a/crates/relay/tests/relay/slow_settings.rs
+++ b/crates/relay/tests/relay/slow_settings.rs
@@ -107,3 +107,21 @@
     let written = client.write("x", "1").await;
     written.expect("the session is open");
 }
+
+/// Instances whose settings came after their first read of the groups' leaders were told by others that
+/// nothing had changed, and held every read of the latest state until its time limit.
+#[tokio::test(start_paused = true)]
+async fn leaders_of_groups_that_come_late_are_read_too() {
+    let world = World::open_unchecked();
+    let early = world.start("i1").await;
+    let mut client = early.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    world.directives.set_delivery(every(100, 20));
+    // Two of the instances read the table for the others.
+    let late = ["i2", "i3", "i4", "i5"].map(|name| world.spawn(name));
+    for instance in &late {
+        let mut client = instance.connect("orders").await;
+        client.write("y", "1").await.expect("the leader is known");
+        assert_eq!(client.read("x").await.as_deref(), Ok("1"));
+    }
+}
