--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -14,6 +14,7 @@
 use crate::balance::State;
 use crate::message::Code;
 use crate::metrics::Calls;
+use crate::metrics::Rejection;
 use crate::node::lock;
 use crate::schedule::Reason;
 
@@ -43,6 +44,20 @@
     reason: String,
 }
 
+/// The label of a rejected datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Rejected {
+    /// The reason.
+    reason: String,
+}
+
+/// The label of a received datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Received {
+    /// The version of the datagrams that the sender's build sends.
+    version: u32,
+}
+
 /// The label of a server's state in the placement of reads.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Placement {
@@ -82,6 +97,8 @@
     /// Statements run for other instances.
     pub run_for_others: Counter,
     forward_failures: Family<Failure, Counter>,
+    datagrams_received: Family<Received, Counter>,
+    datagrams_rejected: Family<Rejected, Counter>,
 }
 
 impl Metrics {
@@ -106,6 +123,8 @@
             run_after_forward: Counter::default(),
             run_for_others: Counter::default(),
             forward_failures: Family::default(),
+            datagrams_received: Family::default(),
+            datagrams_rejected: Family::default(),
         };
         let mut registry = lock(&metrics.registry);
         registry.register(
@@ -179,6 +198,16 @@
             "Statements that the other instance did not answer, by reason",
             metrics.forward_failures.clone(),
         );
+        registry.register(
+            "datagrams_received",
+            "Datagrams from other instances by version",
+            metrics.datagrams_received.clone(),
+        );
+        registry.register(
+            "datagrams_rejected",
+            "Datagrams that were dropped unread, by reason",
+            metrics.datagrams_rejected.clone(),
+        );
         drop(registry);
         metrics
     }
@@ -206,6 +235,21 @@
             .inc();
     }
 
+    /// Counts a datagram of another instance.
+    pub fn datagram_received(&self, version: u32) {
+        self.datagrams_received
+            .get_or_create(&Received { version })
+            .inc();
+    }
+
+    /// Counts a datagram that was dropped unread.
+    pub fn datagram_rejected(&self, reason: Rejection) {
+        let reason = reason.to_string();
+        self.datagrams_rejected
+            .get_or_create(&Rejected { reason })
+            .inc();
+    }
+
     /// Returns the number of statements that this instance ran, for its callers or for others.
     pub fn statements_run(&self) -> u64 {
         let here = self.statements.get() + self.run_for_others.get() + self.run_after_forward.get();
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -3,7 +3,9 @@
 mod calls;
 mod meter;
 mod metrics;
+mod rejection;
 
 pub use calls::Calls;
 pub use meter::Meter;
 pub use metrics::Metrics;
+pub use rejection::Rejection;
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -15,7 +15,13 @@
 /// An acknowledged commit younger than this shows that commits aren't stuck; a stuck one is older.
 const RECENT_COMMIT_AGE_MS: u64 = 700;
 
+/// The version of the datagrams that this build sends; it grows whenever a message or a field is added.
+const VERSION: u32 = 1;
+
 /// A datagram between two instances.
+///
+/// Messages and fields are only added at the end, so that builds of two versions can run side by side;
+/// docs/design/upgrades.md has the rules.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
     /// The name of the sending instance.
@@ -24,6 +30,26 @@
     pub payload: Payload,
 }
 
+impl Datagram {
+    /// Encodes the datagram, followed by the version. Builds before version 1 ignore what follows.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let bytes = postcard::to_stdvec(self)?;
+        postcard::to_extend(&VERSION, bytes)
+    }
+
+    /// Decodes a datagram and its version, which is 0 if none follows; what comes after it is ignored.
+    ///
+    /// Fails for a message that this build does not know.
+    pub fn decode(bytes: &[u8]) -> Result<(Self, u32), postcard::Error> {
+        let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+        if rest.is_empty() {
+            return Ok((datagram, 0));
+        }
+        let (version, _) = postcard::take_from_bytes(rest)?;
+        Ok((datagram, version))
+    }
+}
+
 /// The payload of a datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -17,6 +17,7 @@
 
 use crate::Error;
 use crate::group::Group;
+use crate::metrics::Rejection;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Datagram;
@@ -91,7 +92,7 @@
             from: Arc::clone(&node.options.name),
             payload,
         };
-        let mut bytes = match postcard::to_stdvec(&datagram) {
+        let mut bytes = match datagram.encode() {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("event=datagram-send-failed to={address} why=\"{error}\"");
@@ -177,13 +178,23 @@
         };
         let seal = node.peers.seal.get();
         let Some(bytes) = seal.and_then(|seal| seal.verify(&buffer[..length])) else {
+            node.metrics.datagram_rejected(Rejection::Unauthenticated);
             node.logger
                 .info(format_args!("event=datagram-refused from={address}"));
             continue;
         };
-        match postcard::from_bytes::<Datagram>(bytes) {
-            Ok(datagram) => handle(&node, address, datagram).await,
-            Err(error) => log::warn!("event=datagram-malformed from={address} why=\"{error}\""),
+        match Datagram::decode(bytes) {
+            Ok((datagram, version)) => {
+                node.metrics.datagram_received(version);
+                handle(&node, address, datagram).await;
+            }
+            // During an upgrade this may be a message that only later builds know.
+            Err(error) => {
+                node.metrics.datagram_rejected(Rejection::Unknown);
+                node.logger.info(format_args!(
+                    "event=datagram-malformed from={address} why=\"{error}\""
+                ));
+            }
         }
     }
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -29,5 +29,6 @@
 mod stops;
 mod store_calls;
 mod survey;
+mod upgrade;
 mod warmup;
 mod world;
