Let few members of a large fleet hold the slices of the rates

Change: in fleets of more than 16 instances, nine and one for each 64 more hold slices, the same number in each zone, chosen by name. The others register and borrow; they take nothing over, and an instance accepts callers once it can borrow. A request whose borrow is not answered within 8 ms asks another peer.

--- a/crates/account/src/rate/lenders.rs
+++ b/crates/account/src/rate/lenders.rs
@@ -15,6 +15,10 @@
 use crate::rate::bucket::Bucket;
 use crate::rate::hash::hash;
 
+/// Time after which a borrow without an answer no longer keeps a request from asking another peer:
+/// several round trips between zones.
+const ANSWER_TIME_MAX: Span = Span::from_millis(8);
+
 /// A borrow that was sent and is not answered yet.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -74,6 +78,12 @@
         self.pending.is_empty()
     }
 
+    /// Returns whether the answers to all pending borrows take unusually long.
+    pub fn is_overdue(&self, now: Time) -> bool {
+        let newest = self.pending.values().map(|pending| pending.started).max();
+        newest.is_some_and(|started| now >= started + ANSWER_TIME_MAX)
+    }
+
     /// Records a borrow that is being sent.
     pub fn on_borrow(&mut self, now: Time, id: u64, peer: &Arc<str>) {
         let pending = Pending {
--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -138,7 +138,9 @@
             let holder = members.get(name);
             (Arc::clone(name), holder.map(|holder| holder.slices))
         });
-        self.directory = Arc::new(directory.collect());
+        // Whoever holds no slices has nothing to lend.
+        let lenders = directory.filter(|(_, slices)| *slices != Some(0));
+        self.directory = Arc::new(lenders.collect());
         for account in self.accounts.values_mut() {
             account.lenders().set_directory(&self.directory);
         }
@@ -167,8 +169,8 @@
             return Decision::Refuse { retry_after };
         };
         let decision = account.admit(now, &self.policy, &self.schedule, attempt);
-        if matches!(decision, Decision::Wait { .. }) && attempt.is_first {
-            self.is_urgent = true;
+        if matches!(decision, Decision::Wait { .. }) {
+            self.is_urgent |= attempt.is_first || account.lenders().is_overdue(now);
         }
         decision
     }
@@ -281,6 +283,13 @@
         self.reschedule(now);
     }
 
+    /// Returns whether this instance can grant requests: it has slices in use, or it should have none
+    /// and knows an instance that has.
+    pub fn can_grant(&self, now: Time) -> bool {
+        let has_lender = self.directory.values().any(|slices| slices.is_some());
+        self.schedule.slice_count(now) > 0 || (has_lender && self.slices.only_borrows(now))
+    }
+
     /// Releases all slices for a planned stop, after which this instance grants nothing.
     pub fn leave(&mut self, now: Time) {
         self.slices.leave();
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -2,9 +2,16 @@
 
 use clock::Span;
 
+use crate::rate::SLICE_COUNT;
+
 /// Maximum factor by which leases and related intervals grow with the fleet.
 const FLEET_SCALE_MAX: usize = 4;
 
+/// Minimum number of slice holders of a large fleet: three in each of three zones.
+const HOLDERS_MIN: usize = 9;
+/// One further instance holds slices per this many instances.
+const INSTANCES_PER_HOLDER: usize = 64;
+
 /// Timing and tuning parameters of the limiter; they must be the same at all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -123,6 +130,15 @@
         members >= self.fleet_size
     }
 
+    /// Returns how many of `members` members hold slices.
+    pub fn holder_count(&self, members: usize) -> usize {
+        if !self.passes_rows_on(members) {
+            return members;
+        }
+        let more = members / INSTANCES_PER_HOLDER;
+        (HOLDERS_MIN + more).min(SLICE_COUNT as usize)
+    }
+
     /// Scales a lease or related interval to a fleet with `members` other members.
     pub fn scale_to_fleet(&self, span: Span, members: usize) -> Span {
         let most = self.fleet_size.saturating_mul(FLEET_SCALE_MAX);
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -26,6 +26,8 @@
 use crate::rate::hash::hash;
 use crate::rate::hash::short_hash;
 use crate::rate::slices::elector::Elector;
+use crate::rate::slices::holders;
+use crate::rate::slices::holders::Candidate;
 use crate::rate::slices::inquiry::Inquiry;
 use crate::rate::slices::inquiry::Passed;
 use crate::rate::slices::lease::Confirmed;
@@ -447,7 +449,7 @@
         plan(
             now,
             &self.policy,
-            &self.local,
+            &self.candidate(),
             self.lease
                 .confirmed
                 .as_ref()
@@ -458,6 +460,28 @@
         )
     }
 
+    fn candidate(&self) -> Candidate<'_> {
+        Candidate {
+            member: &self.local,
+            zone: self.zone.as_ref(),
+        }
+    }
+
+    /// Returns whether this member should hold slices by the rows as last read.
+    fn is_holder(&self, now: Time) -> bool {
+        let rows = self.view.rows.values();
+        let live = rows.filter(|observed| !observed.has_lapsed(now, &self.policy));
+        let mut candidates: Vec<Candidate<'_>> =
+            live.map(|observed| Candidate::of(&observed.row)).collect();
+        candidates.push(self.candidate());
+        holders::choose(&self.policy, &candidates).contains(&&self.local)
+    }
+
+    /// Returns whether this member is registered and should hold no slices.
+    pub fn only_borrows(&self, now: Time) -> bool {
+        self.registered_at.is_some() && !self.is_holder(now)
+    }
+
     /// Returns a backoff that differs between members that conflicted over slices, so that their
     /// next attempts do not coincide.
     fn conflict_backoff(&self) -> Span {
@@ -537,6 +561,9 @@
 
     /// Requests consents to a takeover from the electors of lapsed rows.
     fn request_consents(&mut self, now: Time) -> Vec<Action> {
+        if !self.is_holder(now) {
+            return Vec::new();
+        }
         let mut actions = Vec::new();
         let policy = self.policy;
         let rows = std::mem::take(&mut self.view.rows);
@@ -572,10 +599,14 @@
         if self.acquire_at.is_some() || !is_settled {
             return;
         }
-        let members = self.view.rows.values();
-        let before = members
-            .filter(|observed| observed.row.member < self.local)
-            .count() as u64;
+        let rows = self.view.rows.values();
+        let mut candidates: Vec<Candidate<'_>> =
+            rows.map(|observed| Candidate::of(&observed.row)).collect();
+        candidates.push(self.candidate());
+        // CAST: a fleet has few holders.
+        let before = holders::choose(&self.policy, &candidates)
+            .binary_search(&&self.local)
+            .unwrap_or(0) as u64;
         let at = now + Span::from_micros(self.policy.join_spacing.as_micros() * before);
         self.acquire_at = Some(at);
         self.next_read = self.next_read.min(at);
@@ -618,8 +649,12 @@
     /// Returns the rows that can be taken over now.
     fn takeovers(&self, now: Time) -> BTreeMap<Arc<str>, Takeover> {
         let mut takeovers = BTreeMap::new();
+        let is_holder = self.is_holder(now);
         for (key, observed) in &self.view.rows {
             let row = &observed.row;
+            if !is_holder && !self.is_earlier_life(row) {
+                continue;
+            }
             let is_empty = row.slices() == 0 && observed.has_lapsed(now, &self.policy);
             if self.is_earlier_life(row)
                 || is_empty
--- a/crates/account/src/rate/slices/mod.rs
+++ b/crates/account/src/rate/slices/mod.rs
@@ -1,6 +1,7 @@
 //! Assignment of slices to instances, through one leased table row per instance.
 
 mod elector;
+mod holders;
 mod inquiry;
 mod lease;
 mod manager;
--- a/crates/account/src/rate/slices/plan.rs
+++ b/crates/account/src/rate/slices/plan.rs
@@ -10,6 +10,7 @@
 use crate::rate::Row;
 use crate::rate::SLICE_COUNT;
 use crate::rate::hash::hash;
+use crate::rate::slices::holders;
 use crate::rate::slices::view::Observation;
 
 /// Maximum number of electors of a row; a majority of them is five.
@@ -50,13 +51,13 @@
 pub(super) fn plan(
     now: Time,
     policy: &Policy,
-    local: &Member,
+    local: &holders::Candidate<'_>,
     own: Option<&Row>,
     others: &BTreeMap<Arc<str>, Observation>,
     takeovers: BTreeMap<Arc<str>, Takeover>,
     may_acquire: bool,
 ) -> Plan {
-    let mut members = vec![local.clone()];
+    let mut candidates = vec![*local];
     let mut occupied = 0_u64;
     let mut locked_count = 0_u32;
     for (key, observed) in others {
@@ -68,13 +69,13 @@
         };
         occupied |= kept;
         if !observed.has_lapsed(now, policy) {
-            members.push(observed.row.member.clone());
+            candidates.push(holders::Candidate::of(&observed.row));
         } else if kept != 0 {
             locked_count += observed.row.pinned.count_ones();
         }
     }
-    members.sort_unstable();
-    let target = target(local, &members, SLICE_COUNT - locked_count);
+    let holders = holders::choose(policy, &candidates);
+    let target = target(local.member, &holders, SLICE_COUNT - locked_count);
     // A table that returned from an older copy may show a slice in two rows: both holders give it
     // up before it is acquired again.
     let own_slices = own.map_or(0, Row::slices) & !occupied;
@@ -92,7 +93,7 @@
     Plan {
         pinned,
         mobile: slices & !pinned,
-        electors: electors(local, members),
+        electors: electors(local.member, candidates),
         takeovers,
     }
 }
@@ -102,7 +103,12 @@
 ///
 /// In a large fleet they are a subset of the members, which keeps rows small. The choice is stable:
 /// it changes little when members join or leave.
-fn electors(local: &Member, mut members: Vec<Member>) -> Vec<Member> {
+fn electors(local: &Member, candidates: Vec<holders::Candidate<'_>>) -> Vec<Member> {
+    let mut members: Vec<Member> = candidates
+        .into_iter()
+        .map(|candidate| candidate.member.clone())
+        .collect();
+    members.sort_unstable();
     if members.len() > MAX_ELECTORS {
         members.sort_by_cached_key(|member| (member != local, hash((&local.name, member))));
         members.truncate(MAX_ELECTORS);
@@ -112,10 +118,12 @@
 }
 
 /// Returns the number of slices, out of `total`, that a member should hold.
-fn target(local: &Member, members: &[Member], total: u32) -> u32 {
-    // CAST: a fleet has far fewer than 2^32 members.
-    let count = members.len() as u32;
-    let index = members.partition_point(|member| member < local) as u32;
+fn target(local: &Member, holders: &[&Member], total: u32) -> u32 {
+    let Ok(index) = holders.binary_search(&local) else {
+        return 0;
+    };
+    // CAST: there are at most `SLICE_COUNT` holders.
+    let (index, count) = (index as u32, holders.len() as u32);
     total / count + u32::from(index < total % count)
 }
 
--- a/crates/relay/src/task/limiter.rs
+++ b/crates/relay/src/task/limiter.rs
@@ -68,7 +68,7 @@
 
 /// Waits until this instance holds usable slices.
 pub async fn wait_for_slices(node: &Node) {
-    while lock(&node.limiter).schedule().slice_count(node.now()) == 0 {
+    while !lock(&node.limiter).can_grant(node.now()) {
         tokio::time::sleep(FIRST_SLICES_PERIOD).await;
         node.limiter_due.notify_one();
     }
