Spend the slack of the quota where it is largest, and pause longer after failed calls

Cause: an account of six requests a second was allowed 46 in a window of 5 s, but only six at once: its bursts were refused below the limit.

Change: the larger one of burst and slack is the burst of the bucket, and the smaller one, over the window, raises the rate. A failed call of a follower is repeated after 150 ms, then twice as long each time, up to 1.2 s.

--- a/crates/account/src/rate/quota.rs
+++ b/crates/account/src/rate/quota.rs
@@ -26,10 +26,10 @@
         if limit.rate == 0 {
             return limit;
         }
-        let extra = (self.slack / 2).saturating_mul(MICROS) / self.window.as_micros();
+        let extra = self.slack.min(limit.burst).saturating_mul(MICROS) / self.window.as_micros();
         Limit {
             rate: limit.rate.saturating_add(extra),
-            burst: limit.burst,
+            burst: self.slack.max(limit.burst),
         }
     }
 }
--- a/crates/relay/src/task/follower.rs
+++ b/crates/relay/src/task/follower.rs
@@ -16,8 +16,12 @@
 /// How long no part of a reply may arrive, beyond the long-poll wait, before the connection counts
 /// as dead. The whole reply may take longer: its size and the link decide.
 const STALL_LIMIT: Duration = Duration::from_millis(700);
-/// Pause after a failed call.
+/// Pause after the first failed call; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Maximum pause after a failed call: calls to a store that refuses them cost as much as others.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_200);
+/// Doublings of `RETRY_PAUSE` that reach `RETRY_PAUSE_MAX`.
+const RETRY_DOUBLINGS_MAX: u32 = 3;
 
 /// Follows rows of one kind.
 pub struct Follower<T> {
@@ -26,8 +30,8 @@
     kind: &'static str,
     /// The version to continue from; `None` if all rows must be read.
     version: Option<u64>,
-    /// Whether the last call failed.
-    is_lost: bool,
+    /// Consecutive calls that failed.
+    failures: u32,
 }
 
 /// Rows received from the store.
@@ -47,7 +51,7 @@
             source: Arc::clone(source),
             kind,
             version: None,
-            is_lost: false,
+            failures: 0,
         }
     }
 
@@ -78,14 +82,14 @@
             }
             Some(after) => {
                 // After an outage the store must reply without waiting for changes.
-                let wait = if self.is_lost { Duration::ZERO } else { wait };
+                let wait = if self.failures > 0 { Duration::ZERO } else { wait };
                 let call = self.source.follow(after, wait, progress);
                 until_stalled(wait, progress, call).await
             }
         };
         match called {
             Some(Ok(Delta::Batch(batch))) => {
-                let is_recovery = std::mem::take(&mut self.is_lost);
+                let is_recovery = std::mem::take(&mut self.failures) > 0;
                 if is_recovery {
                     log::info!("event=store-regained what={}", self.kind);
                 }
@@ -106,7 +110,7 @@
                     Some(Err(error)) => error.to_string(),
                     _ => "no answer in time".to_owned(),
                 };
-                let level = if self.is_lost {
+                let level = if self.failures > 0 {
                     log::Level::Debug
                 } else {
                     log::Level::Warn
@@ -118,8 +122,9 @@
                     begun.elapsed().as_millis(),
                     progress.received()
                 );
-                self.is_lost = true;
-                sleep(RETRY_PAUSE).await;
+                let pause = RETRY_PAUSE.saturating_mul(1 << self.failures.min(RETRY_DOUBLINGS_MAX));
+                self.failures = self.failures.saturating_add(1);
+                sleep(pause.min(RETRY_PAUSE_MAX)).await;
                 None
             }
         }
