Place small limits on fewer slices, once no older version holds any

Cause: a burst of 20 was carried by ten slices of two tokens and a refill of 0.7 a second, so that after a start each holder took 1.4 s for its first whole token.

Change: a slice carries eight tokens of the burst, at least four slices a limit. Rows tell the version of their holder; while any row is of an older one the earlier layout stays in use, since slices of both layouts together would exceed the limit.

--- a/crates/account/src/rate/account.rs
+++ b/crates/account/src/rate/account.rs
@@ -15,6 +15,7 @@
 use crate::rate::SLICE_COUNT;
 use crate::rate::Schedule;
 use crate::rate::bucket::Bucket;
+use crate::rate::layout::Layout;
 use crate::rate::lenders::Lenders;
 use crate::rate::recent::Recent;
 use crate::rate::waiting::Waiting;
@@ -65,9 +66,9 @@
 
 impl Account {
     /// Opens an account with an empty bucket.
-    pub fn open(now: Time, name: &Arc<str>, limit: Limit) -> Self {
+    pub fn open(now: Time, name: &Arc<str>, layout: Layout, limit: Limit) -> Self {
         Self {
-            bucket: Bucket::open(now, name, limit),
+            bucket: Bucket::open(now, name, layout, limit),
             window_cost: Amount::ZERO,
             window_end: now,
             demand: Amount::ZERO,
--- a/crates/account/src/rate/bucket.rs
+++ b/crates/account/src/rate/bucket.rs
@@ -9,6 +9,7 @@
 use crate::rate::Amount;
 use crate::rate::Limit;
 use crate::rate::Schedule;
+use crate::rate::layout::Layout;
 use crate::rate::placement::Placement;
 
 /// Tokens that were lent or borrowed until a point in time.
@@ -26,6 +27,7 @@
 pub(super) struct Bucket {
     /// The account's name, which determines the slices that carry the limit.
     account: Arc<str>,
+    layout: Layout,
     limit: Limit,
     placement: Placement,
     /// The placement of the current limit and the time from which it is used, while a change to
@@ -44,11 +46,12 @@
 
 impl Bucket {
     /// Opens an empty bucket.
-    pub fn open(now: Time, account: &Arc<str>, limit: Limit) -> Self {
+    pub fn open(now: Time, account: &Arc<str>, layout: Layout, limit: Limit) -> Self {
         Self {
             account: Arc::clone(account),
+            layout,
             limit,
-            placement: Placement::of(account, limit),
+            placement: layout.place(account, limit),
             next_placement: None,
             tokens: Amount::ZERO,
             settled_at: now,
@@ -66,26 +69,28 @@
     /// Applies a limit; borrowed tokens are dropped, since they were granted under the old one.
     ///
     /// If other slices carry the new limit, only what both placements have in common is used for
-    /// `max_settings_delay`: other instances may apply the change that much later, and a slice must
+    /// `max_delay`: other instances may apply the change that much later, and a slice must
     /// not be counted in both placements.
     pub fn set_limit(
         &mut self,
         now: Time,
         schedule: &Schedule,
+        layout: Layout,
         limit: Limit,
-        max_settings_delay: Span,
+        max_delay: Span,
     ) {
         self.settle(now, schedule);
-        if limit == self.limit {
+        if limit == self.limit && layout == self.layout {
             return;
         }
-        let next = Placement::of(&self.account, limit);
+        let next = layout.place(&self.account, limit);
         if self.next_placement.is_none() && next.has_slices_of(&self.placement) {
             self.placement = next;
         } else {
             self.placement = self.placement.common(&next);
-            self.next_placement = Some((next, now + max_settings_delay));
+            self.next_placement = Some((next, now + max_delay));
         }
+        self.layout = layout;
         self.limit = limit;
         self.borrowed.clear();
         self.settle(now, schedule);
--- a/crates/account/src/rate/limiter.rs
+++ b/crates/account/src/rate/limiter.rs
@@ -23,6 +23,7 @@
 use crate::rate::Schedule;
 use crate::rate::Send;
 use crate::rate::account::Account;
+use crate::rate::layout::Layout;
 use crate::rate::lenders::Directory;
 use crate::rate::slices::Manager;
 
@@ -35,6 +36,10 @@
     policy: Policy,
     /// The settings revision of the limits; never decreases.
     revision: u64,
+    /// The limits of the settings.
+    limits: BTreeMap<Arc<str>, Limit>,
+    /// The layout of all buckets.
+    layout: Layout,
     accounts: BTreeMap<Arc<str>, Account>,
     slices: Manager,
     /// The slices that the buckets use; all buckets are settled before it changes.
@@ -69,6 +74,8 @@
             life,
             policy,
             revision: 0,
+            limits: BTreeMap::new(),
+            layout: Layout::NEWEST,
             accounts: BTreeMap::new(),
             slices: Manager::open(local, address, policy),
             schedule: Schedule::default(),
@@ -92,21 +99,40 @@
             return;
         }
         self.revision = revision;
-        for (name, account) in &mut self.accounts {
-            let limit = limits.get(name).copied().unwrap_or_default();
-            account
-                .bucket
-                .set_limit(now, &self.schedule, limit, self.policy.max_settings_delay);
-        }
+        self.limits.clone_from(limits);
+        self.apply_limits(now, self.policy.max_settings_delay);
+        let quota = self.policy.quota;
         for (name, limit) in limits {
             self.accounts.entry(Arc::clone(name)).or_insert_with(|| {
-                let mut account = Account::open(now, name, *limit);
+                let limit = self.layout.bucket_limit(quota, *limit);
+                let mut account = Account::open(now, name, self.layout, limit);
                 account.lenders().set_directory(&self.directory);
                 account
             });
         }
     }
 
+    /// Applies the limits and the layout to all buckets; other instances may do so `max_delay` later.
+    fn apply_limits(&mut self, now: Time, max_delay: Span) {
+        for (name, account) in &mut self.accounts {
+            let limit = self.limits.get(name).copied().unwrap_or_default();
+            let limit = self.layout.bucket_limit(self.policy.quota, limit);
+            account
+                .bucket
+                .set_limit(now, &self.schedule, self.layout, limit, max_delay);
+        }
+    }
+
+    /// Uses the newest layout that the versions of all rows know.
+    fn update_layout(&mut self, now: Time) {
+        let layout = self.slices.layout();
+        if layout == self.layout {
+            return;
+        }
+        self.layout = layout;
+        self.apply_limits(now, self.slices.view_age_max());
+    }
+
     /// Returns the other instances whose leases have not lapsed, by name.
     pub fn members(&self) -> &BTreeMap<Arc<str>, Holder> {
         self.slices.members()
@@ -270,6 +296,7 @@
     ) -> Vec<Action> {
         let before = self.slices.members().clone();
         let actions = self.slices.on_read(now, id, result);
+        self.update_layout(now);
         self.reschedule(now);
         if *self.slices.members() != before {
             self.update_directory();
--- a/crates/account/src/rate/mod.rs
+++ b/crates/account/src/rate/mod.rs
@@ -5,6 +5,7 @@
 mod bucket;
 mod decision;
 mod hash;
+mod layout;
 mod lenders;
 mod limit;
 mod limiter;
--- a/crates/account/src/rate/placement.rs
+++ b/crates/account/src/rate/placement.rs
@@ -10,13 +10,10 @@
 /// Minimum number of slices per limit, so that the loss of one holder affects only part of it.
 const MIN_SLICES: u64 = 4;
 
-/// Burst tokens per slice that carries a limit.
-const TOKENS_PER_SLICE: u64 = 2;
-
 /// The slices that carry an account's limit, and the part that each carries.
 ///
-/// A small burst is placed on few slices, one per two tokens: a bucket with a capacity of less than
-/// a token grants nothing, and one with a capacity of two is rarely empty. The slices depend only
+/// A small burst is placed on few slices: a bucket with a capacity of less than a token grants
+/// nothing, and one with little refill takes long to have a whole token. The slices depend only
 /// on the account's name and the limit, and those of a smaller limit are a subset of those of a
 /// larger one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,10 +25,10 @@
 }
 
 impl Placement {
-    /// Places an account's limit.
-    pub fn of(account: &str, limit: Limit) -> Self {
+    /// Places an account's limit on one slice per `tokens_per_slice` tokens of the burst.
+    pub fn of(account: &str, limit: Limit, tokens_per_slice: u64) -> Self {
         let slice_count = u64::from(SLICE_COUNT);
-        let count = (limit.burst / TOKENS_PER_SLICE).clamp(MIN_SLICES, slice_count);
+        let count = (limit.burst / tokens_per_slice).clamp(MIN_SLICES, slice_count);
         // Rounds down, so that all slices together never carry more than the limit.
         let each = |all: u64| all.saturating_mul(slice_count) / count;
         Self {
--- a/crates/account/src/rate/policy.rs
+++ b/crates/account/src/rate/policy.rs
@@ -2,6 +2,7 @@
 
 use clock::Span;
 
+use crate::rate::Quota;
 use crate::rate::SLICE_COUNT;
 
 /// Maximum factor by which leases and related intervals grow with the fleet.
@@ -73,6 +74,9 @@
     pub join_delay: Span,
     /// Time between the acquisitions of new members that start together, which would conflict.
     pub join_spacing: Span,
+    /// How the deployment measures the usage of an account; `None` if the limits are those of the
+    /// buckets.
+    pub quota: Option<Quota>,
     /// Fault injection for tests: a repeated loan is applied again.
     pub repeat_loans: bool,
     /// Fault injection for tests: takeovers need no consent.
@@ -114,6 +118,7 @@
             fleet_size: usize::MAX,
             join_delay: Span::ZERO,
             join_spacing: Span::ZERO,
+            quota: None,
             repeat_loans: false,
             skip_consent: false,
             start_full: false,
--- a/crates/account/src/rate/quota.rs
+++ b/crates/account/src/rate/quota.rs
@@ -18,18 +18,36 @@
 }
 
 impl Quota {
-    /// Returns the token bucket limit that enforces an account's limit.
+    /// Returns the limit of a bucket that adds half of the slack, spread over the window, to the rate.
+    pub fn raise_rate(&self, limit: Limit) -> Limit {
+        if limit.rate == 0 {
+            return limit;
+        }
+        Limit {
+            rate: limit.rate.saturating_add(self.per_second(self.slack / 2)),
+            burst: limit.burst,
+        }
+    }
+
+    /// Returns the limit of a bucket whose burst is the larger one of burst and slack; the smaller
+    /// one, spread over the window, raises the rate.
     ///
-    /// It adds half of the slack, spread over the window, to the rate. The other half is reserved
-    /// for requests that wait after their admission and reach a server later.
-    pub fn bucket_limit(&self, limit: Limit) -> Limit {
+    /// So a window holds at most what the limit and the slack allow, and every account gets at least
+    /// its rate and its burst. Requests that wait after their admission arrive later, but count only
+    /// in windows in which they were also sent.
+    pub fn spread(&self, limit: Limit) -> Limit {
         if limit.rate == 0 {
             return limit;
         }
-        let extra = self.slack.min(limit.burst).saturating_mul(MICROS) / self.window.as_micros();
+        let extra = self.per_second(self.slack.min(limit.burst));
         Limit {
             rate: limit.rate.saturating_add(extra),
             burst: self.slack.max(limit.burst),
         }
     }
+
+    /// Returns the whole number of tokens a second that brings at most `tokens` in a window.
+    fn per_second(&self, tokens: u64) -> u64 {
+        tokens.saturating_mul(MICROS) / self.window.as_micros()
+    }
 }
--- a/crates/account/src/rate/slices/manager.rs
+++ b/crates/account/src/rate/slices/manager.rs
@@ -25,6 +25,7 @@
 use crate::rate::Versions;
 use crate::rate::hash::hash;
 use crate::rate::hash::short_hash;
+use crate::rate::layout::Layout;
 use crate::rate::slices::elector::Elector;
 use crate::rate::slices::holders;
 use crate::rate::slices::holders::Candidate;
@@ -138,6 +139,21 @@
         self.lease.schedule(now, &self.policy)
     }
 
+    /// Returns the newest layout that the versions of all rows know.
+    ///
+    /// Lapsed rows count: an older version that was only paused goes on with its pinned slices.
+    pub fn layout(&self) -> Layout {
+        let rows = self.view.rows.values();
+        rows.map(|observed| Layout::of_row(observed.row.version))
+            .fold(Layout::NEWEST, Layout::min)
+    }
+
+    /// Returns how old the rows may be as any member knows them.
+    pub fn view_age_max(&self) -> Span {
+        let interval = self.scale_to_fleet(self.policy.read_interval);
+        Span::from_micros(interval.as_micros() * 2).max(self.policy.max_settings_delay)
+    }
+
     /// Returns the other members whose leases had not lapsed at the last read, by name.
     pub fn members(&self) -> &BTreeMap<Arc<str>, Holder> {
         &self.view.holders
@@ -684,6 +700,7 @@
             mobile: plan.mobile,
             electors: plan.electors,
             zone: self.zone.clone(),
+            version: Layout::row_version(),
         };
         let transaction =
             Transaction::renew(&self.key, confirmed, &row, &self.view, &plan.takeovers);
--- a/crates/account/src/rate/slices/row.rs
+++ b/crates/account/src/rate/slices/row.rs
@@ -70,6 +70,9 @@
     /// its version doesn't know zones.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<Arc<str>>,
+    /// The version of the holder's rate limiter; 0 for those that did not write it.
+    #[serde(default)]
+    pub version: u32,
 }
 
 impl Row {
--- a/crates/account/tests/rate/traps.rs
+++ b/crates/account/tests/rate/traps.rs
@@ -246,6 +246,7 @@
             mobile: 0,
             electors: vec![member.clone()],
             zone: None,
+            version: 1,
         };
         store::Row {
             key: member.key(),
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -19,7 +19,6 @@
 use account::rate::Attempt;
 use account::rate::Decision;
 use account::rate::Holder;
-use account::rate::Limit;
 use account::rate::Limiter;
 use clock::Span;
 use clock::Time;
@@ -166,6 +165,10 @@
     ) -> Arc<Self> {
         let incarnation = rand::random();
         let keys = key_policy(&options);
+        let policy = rate::Policy {
+            quota: options.quota,
+            ..policy
+        };
         let limiter = Limiter::open(&options.name, incarnation, options.peer, policy);
         let logger = Logger::open(Arc::clone(&dependencies.clock));
         let metrics = Metrics::open();
@@ -383,7 +386,7 @@
         let limits = revision
             .accounts
             .iter()
-            .map(|(name, account)| (Arc::clone(name), self.bucket(account.limit)))
+            .map(|(name, account)| (Arc::clone(name), account.limit))
             .collect();
         lock(&self.limiter).on_settings(self.now(), revision.number, &limits);
         self.apply_groups(&revision);
@@ -604,13 +607,6 @@
         self.metrics.text()
     }
 
-    /// Returns the token bucket that enforces an account's limit.
-    fn bucket(&self, limit: Limit) -> Limit {
-        self.options
-            .quota
-            .map_or(limit, |quota| quota.bucket_limit(limit))
-    }
-
     fn apply_keys(&self, revision: &Revision) {
         let keys: Keys<()> = revision
             .accounts
