Let other instances confirm the settings and entries after failed calls

Cause: an instance that the store turned away repeated its own calls until one worked, although others reached the store.

Change: after a failed call for settings or servers' entries every second attempt goes to an instance that reads the store for others. The pause after a failed call is at most 300 ms in a small fleet and grows by 16 ms an instance, up to 1.2 s. The secret is taken from the answer to the write that found it existing. More than eight new members are logged in one line.

--- a/crates/account/src/rate/slices/holders.rs
+++ b/crates/account/src/rate/slices/holders.rs
@@ -9,6 +9,9 @@
 use crate::rate::Row;
 use crate::rate::hash::hash;
 
+/// The names of a zone's members, by rank.
+type Ranked<'a> = BTreeSet<(u64, &'a Arc<str>)>;
+
 /// A member that may hold slices.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate<'a> {
@@ -35,7 +38,7 @@
 pub(super) fn choose<'a>(policy: &Policy, candidates: &[Candidate<'a>]) -> Vec<&'a Member> {
     let names: BTreeSet<&Arc<str>> = candidates.iter().map(|c| &c.member.name).collect();
     let count = policy.holder_count(names.len());
-    let mut zones: BTreeMap<Option<&Arc<str>>, BTreeSet<(u64, &Arc<str>)>> = BTreeMap::new();
+    let mut zones: BTreeMap<Option<&Arc<str>>, Ranked<'_>> = BTreeMap::new();
     for candidate in candidates {
         let name = &candidate.member.name;
         let ranked = zones.entry(candidate.zone).or_default();
--- a/crates/account/tests/rate/conflict.rs
+++ b/crates/account/tests/rate/conflict.rs
@@ -67,7 +67,7 @@
         mobile: 0,
         electors: vec![member.clone()],
         zone: None,
-            version: 1,
+        version: 1,
     };
     store::Row {
         key: member.key(),
--- a/crates/account/tests/rate/main.rs
+++ b/crates/account/tests/rate/main.rs
@@ -2,6 +2,7 @@
 
 mod conflict;
 mod fleet;
+mod holders;
 mod minute;
 mod quota;
 mod random;
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -71,6 +71,10 @@
 /// reports to all grow with the square of the fleet.
 const REPORTED_FLEET_MIN: usize = 32;
 
+/// With more new members at once, one line is logged for all: at the start of a large fleet the lines
+/// of all instances would grow with its square.
+const NEW_MEMBERS_LOGGED_MAX: usize = 8;
+
 /// A member list read longer ago than this doesn't tell which instances are alive.
 const MEMBERS_MAX_AGE: Span = Span::from_secs(12);
 
@@ -264,6 +268,11 @@
         lock(&self.members).clone()
     }
 
+    /// Returns the number of live instances, this one included.
+    pub fn fleet_size(&self) -> usize {
+        lock(&self.members).len() + 1
+    }
+
     /// Returns whether another live instance has this peer address.
     pub fn has_peer_at(&self, address: SocketAddr) -> bool {
         lock(&self.members).values().any(|peer| *peer == address)
@@ -331,8 +340,13 @@
         for name in known.keys().filter(|name| !live.contains_key(*name)) {
             log::info!("event=member-lost member={name}");
         }
-        for (name, address) in addresses() {
-            if known.get(name) != Some(address) {
+        let new: Vec<_> = addresses()
+            .filter(|(name, address)| known.get(*name) != Some(*address))
+            .collect();
+        if new.len() > NEW_MEMBERS_LOGGED_MAX {
+            log::info!("event=members-known new={} all={}", new.len(), live.len());
+        } else {
+            for (name, address) in new {
                 log::info!("event=member-known member={name} address={address}");
             }
         }
--- a/crates/relay/src/task/confirmation.rs
+++ b/crates/relay/src/task/confirmation.rs
@@ -30,6 +30,14 @@
     node.peer_address(chosen)
 }
 
+/// Chooses another instance that reads the store, also if this instance is one of them.
+pub fn choose_other_poller(node: &Node, topic: Topic) -> Option<SocketAddr> {
+    let pollers = node.pollers(topic);
+    let others = pollers.iter().filter(|name| **name != node.options.name);
+    let chosen = others.choose(&mut rand::rng())?;
+    node.peer_address(chosen)
+}
+
 /// Ranks the instances and returns those that read the store.
 pub fn rank_pollers<'a>(topic: Topic, names: impl Iterator<Item = &'a Arc<str>>) -> Vec<Arc<str>> {
     let mut pollers = rendezvous_order(&topic.to_string(), names);
--- a/crates/relay/src/task/follower.rs
+++ b/crates/relay/src/task/follower.rs
@@ -18,9 +18,14 @@
 const STALL_LIMIT: Duration = Duration::from_millis(700);
 /// Pause after the first failed call; it doubles with each further one.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Maximum pause after a failed call: calls to a store that refuses them cost as much as others.
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_200);
-/// Doublings of `RETRY_PAUSE` that reach `RETRY_PAUSE_MAX`.
+/// Maximum pause after a failed call in a small fleet.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(300);
+/// Maximum pause per instance of a large fleet, in which the calls to a store that refuses them add up
+/// and others tell when it is back.
+const RETRY_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(16);
+/// Limit of the maximum pause.
+const RETRY_PAUSE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Doublings of `RETRY_PAUSE` that reach `RETRY_PAUSE_LIMIT`.
 const RETRY_DOUBLINGS_MAX: u32 = 3;
 
 /// Follows rows of one kind.
@@ -32,6 +37,8 @@
     version: Option<u64>,
     /// Consecutive calls that failed.
     failures: u32,
+    /// Maximum pause after a failed call.
+    pause_max: Duration,
 }
 
 /// Rows received from the store.
@@ -52,9 +59,22 @@
             kind,
             version: None,
             failures: 0,
+            pause_max: RETRY_PAUSE_MAX,
         }
     }
 
+    /// Returns whether the last call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Adapts the pause after failed calls to the number of instances.
+    pub fn set_fleet_size(&mut self, instances: usize) {
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        let pause = RETRY_PAUSE_PER_INSTANCE.saturating_mul(instances);
+        self.pause_max = pause.clamp(RETRY_PAUSE_MAX, RETRY_PAUSE_LIMIT);
+    }
+
     /// Makes the next call read all rows.
     pub fn restart(&mut self) {
         self.version = None;
@@ -82,7 +102,11 @@
             }
             Some(after) => {
                 // After an outage the store must reply without waiting for changes.
-                let wait = if self.failures > 0 { Duration::ZERO } else { wait };
+                let wait = if self.is_failing() {
+                    Duration::ZERO
+                } else {
+                    wait
+                };
                 let call = self.source.follow(after, wait, progress);
                 until_stalled(wait, progress, call).await
             }
@@ -110,7 +134,7 @@
                     Some(Err(error)) => error.to_string(),
                     _ => "no answer in time".to_owned(),
                 };
-                let level = if self.failures > 0 {
+                let level = if self.is_failing() {
                     log::Level::Debug
                 } else {
                     log::Level::Warn
@@ -124,7 +148,7 @@
                 );
                 let pause = RETRY_PAUSE.saturating_mul(1 << self.failures.min(RETRY_DOUBLINGS_MAX));
                 self.failures = self.failures.saturating_add(1);
-                sleep(pause.min(RETRY_PAUSE_MAX)).await;
+                sleep(pause.min(self.pause_max)).await;
                 None
             }
         }
--- a/crates/relay/src/task/revisions.rs
+++ b/crates/relay/src/task/revisions.rs
@@ -13,6 +13,7 @@
 use crate::evacuation::Transition;
 use crate::node::Node;
 use crate::node::lock;
+use crate::peers::Confirmation;
 use crate::peers::Topic;
 use crate::settings::Directive;
 use crate::task::confirmation;
@@ -41,7 +42,8 @@
     loop {
         let poller = confirmation::choose_poller(&node, Topic::Settings).filter(|_| is_known);
         let Some(poller) = poller else {
-            is_known = poll_store(&node, &mut follower).await;
+            is_known = poll_store(&node, &mut follower).await
+                || (follower.is_failing() && confirm_by_other(&node).await);
             continue;
         };
         is_known = query_peer(&node, poller).await;
@@ -64,6 +66,7 @@
     loop {
         let begun = node.now();
         let progress = Arc::new(Progress::default());
+        follower.set_fleet_size(node.fleet_size());
         *lock(&node.settings_reply) = Arc::clone(&progress);
         let update = tokio::select! {
             update = follower.next(wait, &progress) => update,
@@ -95,6 +98,20 @@
     }
 }
 
+/// After the store has not replied to this instance, asks one that may reach it; returns whether the
+/// settings are confirmed.
+///
+/// Every second attempt goes to an instance that reads the store for others, so that a store that
+/// refuses many instances gets fewer calls and those instances keep their keys in force.
+async fn confirm_by_other(node: &Arc<Node>) -> bool {
+    let other = confirmation::choose_other_poller(node, Topic::Settings);
+    let Some(other) = other.filter(|_| node.revision().number > 0) else {
+        return false;
+    };
+    let answer = confirmation::query(node, other, Topic::Settings, PEER_TIMEOUT).await;
+    apply_confirmation(node, answer)
+}
+
 /// Queries another instance for the store's next confirmation; returns whether the settings are
 /// confirmed.
 async fn query_peer(node: &Arc<Node>, address: SocketAddr) -> bool {
@@ -102,6 +119,11 @@
         answer = confirmation::query(node, address, Topic::Settings, PEER_TIMEOUT) => answer,
         () = node.key_unknown.notified() => return false,
     };
+    apply_confirmation(node, answer)
+}
+
+/// Applies another instance's confirmation; returns whether it is one of the known settings.
+fn apply_confirmation(node: &Node, answer: Option<Confirmation>) -> bool {
     let Some(answer) = answer else {
         return false;
     };
--- a/crates/relay/src/task/secret.rs
+++ b/crates/relay/src/task/secret.rs
@@ -6,6 +6,7 @@
 use rand::RngCore;
 use store::Condition;
 use store::Error;
+use store::Outcome;
 use store::Write;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -29,7 +30,7 @@
                 node.forwarder.set_secret(secret.as_bytes());
                 return;
             }
-            // It was just created, by this instance or another; the next read returns it.
+            // The answer to the write did not show the row; the next read does.
             Ok(Ok(None)) => {}
             failed => {
                 log::debug!("event=secret-read-failed why=\"{failed:?}\"");
@@ -39,7 +40,7 @@
     }
 }
 
-/// Reads the secret; if there is none, creates it and returns `None`.
+/// Reads the secret, or creates it if there is none; `None` if it is not known who created it.
 async fn fetch_or_create(node: &Node) -> Result<Option<Arc<str>>, Error> {
     if let Some(row) = node.dependencies.table.get(KEY).await? {
         return Ok(Some(row.value));
@@ -52,10 +53,15 @@
         key: Arc::clone(&key),
     }];
     // Row values are JSON, so the secret is stored as a quoted string.
-    let value = Arc::from(format!("\"{text}\""));
-    node.dependencies
-        .table
-        .commit(conditions, vec![Write::Put { key, value }])
-        .await?;
-    Ok(None)
+    let value: Arc<str> = Arc::from(format!("\"{text}\""));
+    let write = Write::Put {
+        key,
+        value: Arc::clone(&value),
+    };
+    let outcome = node.dependencies.table.commit(conditions, vec![write]);
+    Ok(match outcome.await? {
+        Outcome::Committed { .. } => Some(value),
+        // Instances that start together all try to create it.
+        Outcome::Conflict { rows } => rows.into_iter().next().map(|row| row.value),
+    })
 }
--- a/crates/relay/src/task/servers.rs
+++ b/crates/relay/src/task/servers.rs
@@ -62,7 +62,7 @@
         let poller = confirmation::choose_poller(&entries.node, Topic::Servers);
         is_known = match poller.filter(|_| is_known) {
             Some(address) => entries.query_peer(address).await,
-            None => entries.poll_store().await,
+            None => entries.poll_store().await || entries.query_other().await,
         };
         entries.expire();
     }
@@ -82,6 +82,7 @@
     async fn poll_store(&mut self) -> bool {
         let begun = self.node.now();
         let wait = self.limit_to_expiry(LONG_POLL_WAIT);
+        self.follower.set_fleet_size(self.node.fleet_size());
         let Some(update) = self.follower.next(wait, &Progress::default()).await else {
             return false;
         };
@@ -100,6 +101,16 @@
         true
     }
 
+    /// After the store has not replied to this instance, asks one that may reach it; returns whether
+    /// the entries are known then.
+    async fn query_other(&mut self) -> bool {
+        let other = confirmation::choose_other_poller(&self.node, Topic::Servers);
+        match other.filter(|_| self.follower.is_failing() && !self.present.is_empty()) {
+            Some(address) => self.query_peer(address).await,
+            None => false,
+        }
+    }
+
     /// Queries another instance whether the entries have changed and applies the changes; returns
     /// whether the entries are known then.
     async fn query_peer(&mut self, address: SocketAddr) -> bool {
