--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -10,6 +10,7 @@
 use relay::message::Definition;
 use relay::message::State;
 use relay::message::Statement;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::world::KEY;
@@ -258,6 +259,28 @@
     assert_eq!(world.group.writes("x"), writes + 1);
 }
 
+/// Load pattern: the store turns one instance of four away for ten seconds and serves the others. Guards
+/// against keys that lapse there, and against calls that go on as fast as they are refused.
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_the_store_turns_away_is_confirmed_by_others() {
+    const OUTAGE: Duration = Duration::from_secs(10);
+    let world = World::open();
+    world.directives.keep_history();
+    let others = ["i1", "i2", "i3"].map(|name| world.spawn(name));
+    let (instance, gate) = world.start_gated("i4").await;
+    // Long enough for all to know each other.
+    sleep(Duration::from_secs(10)).await;
+    let mut client = instance.connect("orders").await;
+    gate.close();
+    let begun = Instant::now();
+    while begun.elapsed() < OUTAGE {
+        client.write("x", "1").await.expect("the key is in force");
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert!(gate.refused() <= 20, "{} calls", gate.refused());
+    drop(others);
+}
+
 #[tokio::test(start_paused = true)]
 async fn statements_of_two_accounts_never_share_a_connection() {
     let world = World::open();
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -48,6 +48,7 @@
 use tokio::time::Instant;
 
 use super::Client;
+use super::Gate;
 use super::caller::Acceptor;
 use super::group::GROUP;
 use super::group::Group;
@@ -557,17 +558,33 @@
     pub async fn start_apart(&self, name: &str) -> (Instance, Arc<Outpost>) {
         let outpost = Outpost::open(Arc::clone(&self.table));
         let table: Arc<Outpost> = Arc::clone(&outpost);
-        let instance = self.start_on(name, None, table);
+        let instance = self.start_on(name, None, table, self.directives.clone());
         instance.wait().await;
         (instance, outpost)
     }
 
+    /// Starts an instance that can be kept from reading the settings, and waits until it serves.
+    pub async fn start_gated(&self, name: &str) -> (Instance, Arc<Gate<Directive>>) {
+        let gate = Gate::open(self.directives.clone());
+        let directives: Arc<Gate<Directive>> = Arc::clone(&gate);
+        let table: Arc<Memory> = Arc::clone(&self.table);
+        let instance = self.start_on(name, Some(Span::from_secs(3)), table, directives);
+        instance.wait().await;
+        (instance, gate)
+    }
+
     fn start_with(&self, name: &str, key_grace: Option<Span>) -> Instance {
         let table: Arc<Memory> = Arc::clone(&self.table);
-        self.start_on(name, key_grace, table)
+        self.start_on(name, key_grace, table, self.directives.clone())
     }
 
-    fn start_on(&self, name: &str, key_grace: Option<Span>, table: Arc<dyn Table>) -> Instance {
+    fn start_on(
+        &self,
+        name: &str,
+        key_grace: Option<Span>,
+        table: Arc<dyn Table>,
+        directives: Arc<dyn Watch<Directive>>,
+    ) -> Instance {
         let options = Options {
             name: Arc::from(name),
             zone: self.instance_zone(),
@@ -591,7 +608,7 @@
             }),
             promoter,
             table,
-            directives: self.directives.clone(),
+            directives,
             servers: self.servers.clone(),
             clock: Arc::<SuspendableClock>::clone(&clock),
         };
--- a/crates/relay/tests/relay/world/mod.rs
+++ b/crates/relay/tests/relay/world/mod.rs
@@ -1,11 +1,13 @@
 //! An in-memory group of servers, callers and a platform for tests of whole instances.
 
 mod caller;
+mod gate;
 mod group;
 mod instance;
 mod link;
 
 pub use caller::Client;
+pub use gate::Gate;
 pub use group::GROUP;
 pub use group::Group;
 pub use instance::Delivery;
