--- a/crates/account/tests/rate/main.rs
+++ b/crates/account/tests/rate/main.rs
@@ -3,6 +3,7 @@
 mod conflict;
 mod fleet;
 mod holders;
+mod layout;
 mod minute;
 mod quota;
 mod random;
