--- a/crates/relay/src/task/limiter.rs
+++ b/crates/relay/src/task/limiter.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Waits until this instance holds usable slices.
+/// Waits until this instance can grant requests: with its own slices, or by borrowing.
 pub async fn wait_for_slices(node: &Node) {
     while !lock(&node.limiter).can_grant(node.now()) {
         tokio::time::sleep(FIRST_SLICES_PERIOD).await;
