--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -15,13 +15,13 @@
 /// An acknowledged commit younger than this shows that commits aren't stuck; a stuck one is older.
 const RECENT_COMMIT_AGE_MS: u64 = 700;
 
-/// The version of the datagrams that this build sends; it grows whenever a message or a field is added.
+/// The version of the datagrams that this build sends; it grows whenever a message is added.
 const VERSION: u32 = 1;
 
 /// A datagram between two instances.
 ///
-/// Messages and fields are only added at the end, so that builds of two versions can run side by side;
-/// docs/design/upgrades.md has the rules.
+/// Messages are only added as the last variant and never change, so that builds of two versions can run
+/// side by side; docs/design/upgrades.md has the rules.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
     /// The name of the sending instance.
