--- a/review/standins/edge.rs
+++ b/review/standins/edge.rs
@@ -10,6 +10,8 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +20,10 @@
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/yuccamount-edge";
 
+/// The ports that instances get.
+const PORT_FIRST: u32 = 10_000;
+const PORTS: u32 = 20_000;
+
 /// The process ids of the instances that run.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -138,13 +144,16 @@
     }
 }
 
-/// Returns an address whose port is free for TCP and UDP.
+/// Returns an address whose port is free for TCP and UDP, below the range from which the system takes
+/// the ports of outgoing connections.
 fn free_port(ip: &str) -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind((ip, 0)).expect("a free port");
-        let address = listener.local_addr().expect("a bound port");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORT_FIRST + (std::process::id() * 64 + step) % PORTS;
+        let address = (ip, port as u16);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return SocketAddr::new(ip.parse().expect("an IP address"), port as u16);
         }
     }
 }
