--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -21,6 +21,7 @@
 use crate::session::Job;
 use crate::session::Refusal;
 use crate::session::read;
+use crate::session::write;
 use crate::settings::Freshness;
 use crate::settings::Route;
 
@@ -142,6 +143,7 @@
             (None, Some(position)) if self.has_written => {
                 self.group.on_commit(sent, &server, position);
             }
+            (None, None) if self.has_written => reply.outcome = Err(write::unplaced()),
             (Some(Code::ReadOnly), _) => self.group.on_not_leader(&server),
             _ => {}
         }
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -93,9 +93,10 @@
     connection.release();
     match reply.code() {
         None => {
-            if let Some(position) = reply.position {
-                job.group.on_commit(sent, &server.name, position);
-            }
+            let Some(position) = reply.position else {
+                return Attempt::Answer(Reply::failed(unplaced(), State::Idle));
+            };
+            job.group.on_commit(sent, &server.name, position);
             Attempt::Answer(reply)
         }
         Some(code) if code.is_not_run() => {
@@ -107,3 +108,10 @@
         Some(_) => Attempt::Answer(reply),
     }
 }
+
+/// Returns the failure of a write that the server confirmed without its position: the session's next
+/// read could miss it.
+pub fn unplaced() -> Failure {
+    let text = "the server confirmed the write without its log position";
+    Failure::new(Code::InDoubt, text)
+}
--- a/crates/relay/tests/relay/sessions.rs
+++ b/crates/relay/tests/relay/sessions.rs
@@ -10,6 +10,7 @@
 use relay::message::Definition;
 use relay::message::State;
 use relay::message::Statement;
+use test_case::test_case;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -44,6 +45,31 @@
     }
 }
 
+/// Without the position of its own commit a session would read at a replica that lacks it.
+#[test_case(false; "single write")]
+#[test_case(true; "transaction")]
+#[tokio::test(start_paused = true)]
+async fn a_commit_that_is_confirmed_without_a_position_is_in_doubt(is_transaction: bool) {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("status").await;
+    let reply = if is_transaction {
+        client
+            .run(Statement::Begin {
+                is_read_only: false,
+            })
+            .await;
+        client.write("x", "1").await.expect("a write");
+        world.group.omit_position();
+        client.run(Statement::Commit).await
+    } else {
+        world.group.omit_position();
+        let arguments = Arc::from("x 1");
+        client.run(Statement::Write { arguments }).await
+    };
+    assert_eq!(reply.code(), Some(Code::InDoubt), "{reply:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_bounded_read_is_never_older_than_its_bound() {
     let world = World::open();
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -93,6 +93,8 @@
     pub(super) rollbacks: Vec<Instant>,
     /// Whether the reply to the next statement of a caller is lost after it ran.
     pub(super) loses_answer: bool,
+    /// Whether the reply to the next statement of a caller lacks the position.
+    pub(super) omits_position: bool,
     /// The server that leads after a caller's next statement, and a write that it then commits.
     pub(super) takeover: Option<(Arc<str>, String, String)>,
     /// The number of SET statements that succeed before one is refused.
@@ -185,6 +187,11 @@
         self.lock().loses_answer = true;
     }
 
+    /// Omits the position from the reply to the next statement of a caller.
+    pub fn omit_position(&self) {
+        self.lock().omits_position = true;
+    }
+
     /// Makes another server the leader right after a caller's next statement and commits a write
     /// there.
     pub fn depose_after_next(&self, chosen: &str, item: &str, data: &str) {
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -108,6 +108,8 @@
                 return None;
             }
         }
+        let omits_position = request.id.is_some() && std::mem::take(&mut inner.omits_position);
+        let position = (!omits_position).then(|| inner.servers[&self.server].applied());
         if outcome.is_err() && self.state == State::Open {
             self.state = State::Failed;
         }
@@ -119,7 +121,7 @@
                 Err(code) => Err(Failure::new(code, text)),
             },
             state: self.state,
-            position: Some(inner.servers[&self.server].applied()),
+            position,
         })
     }
 
