Include the store's era in fencing tokens

An order of the first holder that is carried out late would have been accepted after the second one's.

Cause: the next token came from the row and from what reachable instances know. Where fences are checked only the holder knows its tokens, so with the row and the holder the number was forgotten and began again at 1.

Change: a token has the table's era in its upper bits, as versions have, so tokens of a later era are above all earlier ones. An acquisition whose commit falls into a later era than its token is given up and tried again. store::Memory can return from a copy, for tests.

Related paths: an unreadable row began at its version, which has the era; tokens where fences are unchecked are remembered by all, and have the era now. Slices, departed servers and the secret have no such numbers.

Conclusion: what must never be reused can't rest on a row that may be lost and on the memory of processes.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -6,6 +6,7 @@
 use clock::Time;
 use store::Outcome;
 use store::Row;
+use store::version;
 use tokio::time::timeout;
 
 use crate::failover::Lease;
@@ -109,18 +110,12 @@
         let is_predecessor_unfinished = before
             .as_ref()
             .is_some_and(|lease| lease.phase == Phase::Working);
-        // If the row is unreadable, its version seeds the token: row versions far exceed tokens, so
-        // the new token is higher than any lost one.
-        let row_version = row.as_ref().map_or(0, |row| row.version);
+        let known_token = known_token.max(before.as_ref().map_or(0, |before| before.token));
         let lease = Lease {
             holder: Arc::clone(&node.options.name),
             incarnation: node.incarnation,
             address: Some(node.options.peer),
-            token: before
-                .as_ref()
-                .map_or(row_version, |before| before.token)
-                .max(known_token)
-                + 1,
+            token: next_token(node.dependencies.table.era(), row.as_ref(), known_token),
             phase,
             commit_holders: group.commit_holders(now),
             leader: before.as_ref().and_then(|before| before.leader),
@@ -132,6 +127,7 @@
         let commit = node.dependencies.table.commit(vec![condition], vec![write]);
         match timeout(TABLE_TIMEOUT, commit).await {
             Ok(Ok(Outcome::Committed { version })) => {
+                lease.is_of_era(version).then_some(())?;
                 node.leases.on_lease(&group.name, &lease);
                 Some(Self {
                     lease,
@@ -148,10 +144,9 @@
                 );
                 let row = row::read(node, group, &key).await??;
                 let is_ours = Lease::parse(&row).is_some_and(|read| read == lease);
-                if is_ours {
-                    node.leases.on_lease(&group.name, &lease);
-                }
-                is_ours.then_some(Self {
+                (is_ours && lease.is_of_era(row.version)).then_some(())?;
+                node.leases.on_lease(&group.name, &lease);
+                Some(Self {
                     lease,
                     version: row.version,
                     renewed: now,
@@ -209,3 +204,15 @@
         is_written
     }
 }
+
+/// Returns the next fencing token after `known`, the highest one that is known.
+///
+/// The row and the instances that knew a token may be gone once the table has returned from an older
+/// copy, so the era is part of the token: those of a later era are higher than all earlier ones. An
+/// unreadable row's version takes the place of the token that it held; versions exceed the tokens of
+/// their era.
+fn next_token(era: u64, row: Option<&Row>, known: u64) -> u64 {
+    let unreadable = row.filter(|row| Lease::parse(row).is_none());
+    let lost = unreadable.map_or(0, |row| row.version);
+    known.max(lost).max(version::join(era, 0)) + 1
+}
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -13,6 +13,7 @@
 use store::Condition;
 use store::Row;
 use store::Write;
+use store::version;
 
 use crate::failover::row;
 use crate::group::Appointment;
@@ -48,7 +49,8 @@
     /// record it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub address: Option<SocketAddr>,
-    /// The fencing token; it grows each time the lease is acquired and is never reused.
+    /// The fencing token; it grows each time the lease is acquired and is never reused. It is not
+    /// below the era of the table in which the lease was acquired.
     pub token: u64,
     /// The state of the holder's failover.
     pub phase: Phase,
@@ -77,6 +79,12 @@
         }
     }
 
+    /// Returns whether the token was chosen in the era of `version`, at which the lease was acquired.
+    /// If the table returned from an older copy in between, another instance may have the same token.
+    pub fn is_of_era(&self, version: u64) -> bool {
+        self.token > version::join(version::era(version), 0)
+    }
+
     /// Parses a row; `None` if it is unreadable.
     pub fn parse(row: &Row) -> Option<Self> {
         serde_json::from_str(&row.value).ok()
--- a/crates/relay/src/metrics/meter.rs
+++ b/crates/relay/src/metrics/meter.rs
@@ -54,6 +54,10 @@
 
 #[async_trait]
 impl Table for Meter<dyn Table> {
+    fn era(&self) -> u64 {
+        self.inner.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Row>, Error> {
         self.count_key("get", key);
         self.inner.get(key).await
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -28,6 +28,7 @@
 mod slow_settings;
 mod stops;
 mod store_calls;
+mod store_return;
 mod survey;
 mod upgrade;
 mod warmup;
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -20,6 +20,7 @@
 use clock::Time;
 use endpoint::Role;
 use relay::external::Caller;
+use relay::failover::Lease;
 use relay::node::Dependencies;
 use relay::node::Fencing;
 use relay::node::Options;
@@ -29,6 +30,7 @@
 use relay::settings::Revision;
 use relay::settings::Route;
 use relay::warmup::Allowance;
+use store::Backup;
 use store::Batch;
 use store::Change;
 use store::Condition;
@@ -294,6 +296,8 @@
 pub struct Outpost {
     table: Arc<Memory>,
     is_down: AtomicBool,
+    /// From which the table returns right before the next commit of a group's row.
+    backup: Mutex<Option<Backup>>,
 }
 
 impl Outpost {
@@ -301,9 +305,15 @@
         Arc::new(Self {
             table,
             is_down: AtomicBool::new(false),
+            backup: Mutex::default(),
         })
     }
 
+    /// Makes the table return from `backup` right before the next commit of a group's row.
+    pub fn restore_before_commit(&self, backup: Backup) {
+        *self.backup.lock().expect("no test panics with the lock") = Some(backup);
+    }
+
     /// Makes all further calls fail.
     pub fn cut(&self) {
         self.is_down.store(true, Ordering::Relaxed);
@@ -323,6 +333,10 @@
 
 #[async_trait]
 impl Table for Outpost {
+    fn era(&self) -> u64 {
+        self.table.era()
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Row>, Error> {
         self.check()?;
         let row = self.table.get(key).await?;
@@ -347,6 +361,14 @@
         writes: Vec<Write>,
     ) -> Result<Outcome, Error> {
         self.check()?;
+        let is_of_group = |write: &Write| match write {
+            Write::Put { key, .. } | Write::Delete { key } => key.starts_with(Lease::PREFIX),
+        };
+        if writes.iter().any(is_of_group)
+            && let Some(backup) = self.backup.lock().expect("no panic").take()
+        {
+            self.table.restore(backup);
+        }
         self.table.commit(conditions, writes).await
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use error::Error;
 pub use http::Http;
+pub use memory::Backup;
 pub use memory::Memory;
 pub use objects::Object;
 pub use objects::Objects;
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -19,6 +19,14 @@
 use crate::Row;
 use crate::Table;
 use crate::Write;
+use crate::version;
+
+/// The table's rows at one moment.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    number: u64,
+    rows: BTreeMap<Arc<str>, Row>,
+}
 
 /// A platform that keeps its state in memory.
 #[derive(Default)]
@@ -28,8 +36,10 @@
 
 #[derive(Default)]
 struct State {
-    /// Incremented by every committed transaction and every object write.
-    version: u64,
+    era: u64,
+    /// The number of the newest version within the era, incremented by every committed transaction
+    /// and every object write.
+    number: u64,
     rows: BTreeMap<Arc<str>, Row>,
     objects: BTreeMap<Arc<str>, Object>,
     machines: Vec<Machine>,
@@ -46,12 +56,43 @@
         self.lock().machines = machines;
     }
 
+    /// Copies the table.
+    pub fn back_up(&self) -> Backup {
+        let state = self.lock();
+        Backup {
+            number: state.number,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Returns from an older copy: what was written since is gone, and its versions are given out
+    /// again in the next era.
+    pub fn restore(&self, backup: Backup) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.number = backup.number;
+        state.rows = backup.rows;
+        let era = state.era;
+        for row in state.rows.values_mut() {
+            row.version = version::join(era, version::number(row.version));
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
+    fn next_version(&mut self) -> u64 {
+        self.number += 1;
+        self.version()
+    }
+
+    fn version(&self) -> u64 {
+        version::join(self.era, self.number)
+    }
+
     fn is_met(&self, condition: &Condition) -> bool {
         match condition {
             Condition::Absent { key } => !self.rows.contains_key(key),
@@ -79,7 +120,7 @@
                 let row = Row {
                     key: Arc::clone(&key),
                     value,
-                    version: self.version,
+                    version: self.version(),
                 };
                 self.rows.insert(key, row);
             }
@@ -92,6 +133,10 @@
 
 #[async_trait]
 impl Table for Memory {
+    fn era(&self) -> u64 {
+        self.lock().era
+    }
+
     async fn get(&self, key: &str) -> Result<Option<Row>, Error> {
         Ok(self.lock().rows.get(key).cloned())
     }
@@ -117,11 +162,10 @@
             let rows = state.conflicting_rows(&conditions);
             return Ok(Outcome::Conflict { rows });
         }
-        state.version += 1;
+        let version = state.next_version();
         for write in writes {
             state.apply(write);
         }
-        let version = state.version;
         Ok(Outcome::Committed { version })
     }
 }
@@ -142,8 +186,7 @@
         if state.objects.get(name).map(|object| object.version) != expected {
             return Ok(None);
         }
-        state.version += 1;
-        let version = state.version;
+        let version = state.next_version();
         state
             .objects
             .insert(Arc::from(name), Object { body, version });
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -74,6 +74,12 @@
 /// The platform's transactional table.
 #[async_trait]
 pub trait Table: Send + Sync {
+    /// Returns the newest known era, which rises each time the table returns from an older copy; 0
+    /// where it never does.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads one row; `None` if it does not exist.
     async fn get(&self, key: &str) -> Result<Option<Row>, Error>;
 
