Bear odd entries among those of the servers

Reported by another operator: one entry of another writer, very deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again, or stopped them from following it.

Nesting and numbers beyond their type were errors already.

Conclusion: the right type is not yet a usable value.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -295,9 +295,12 @@
         self.is_scarce.store(share.is_scarce(), Ordering::Relaxed);
         for server in self.servers() {
             let slots = lock(&server.entry).slots;
-            let statements =
-                (slots * STATEMENTS_PER_SLOT * share.connections()).div_ceil(total.max(1));
-            let statements = statements.max(STATEMENTS_MIN);
+            // An entry may state any number of slots.
+            let statements = slots
+                .saturating_mul(STATEMENTS_PER_SLOT)
+                .saturating_mul(share.connections())
+                .div_ceil(total.max(1))
+                .max(STATEMENTS_MIN);
             server.pool.set_share(now, share, statements);
         }
     }
--- a/crates/relay/tests/relay/entries.rs
+++ b/crates/relay/tests/relay/entries.rs
@@ -18,6 +18,7 @@
 use relay::settings::Server;
 use tokio::time::sleep;
 
+use crate::world::GROUP;
 use crate::world::World;
 
 /// Maximum size of a datagram, and the part of it that the authentication code takes.
@@ -203,3 +204,28 @@
     assert_eq!(reads, 6, "two pollers read each of the three changes");
     drop(instances);
 }
+
+/// An entry of another writer made the task that follows the entries panic again and again, so that no
+/// later entry took effect.
+#[tokio::test(start_paused = true)]
+async fn entries_with_the_largest_numbers_do_not_stop_the_following() {
+    let world = World::open();
+    let instance = world.start("i1").await;
+    world.group.join("odd");
+    world.servers.change(|rows| {
+        let largest = Server {
+            group: Arc::from(GROUP),
+            slots: usize::MAX,
+            warmup_left_ms: u64::MAX,
+            ..server(u64::MAX)
+        };
+        rows.insert(Arc::from("odd"), largest);
+    });
+    sleep(Duration::from_secs(1)).await;
+    world.set_entry("a", 1, true);
+    sleep(Duration::from_secs(3)).await;
+    assert_ne!(world.group.leader().as_deref(), Some("a"), "a leaves");
+    let mut client = instance.connect("orders").await;
+    client.write("x", "1").await.expect("a write");
+    assert_eq!(client.read("x").await.as_deref(), Ok("1"));
+}
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 
 use crate::Condition;
 use crate::Error;
@@ -236,6 +237,14 @@
     async fn machines(&self) -> Result<Vec<Machine>, Error> {
         let request = self.reader.get(self.url("/roster"));
         let response = self.read("roster", request).await?;
-        self.receive("roster", response).await
+        let entries: Vec<Box<RawValue>> = self.receive("roster", response).await?;
+        Ok(entries.iter().filter_map(|entry| machine(entry)).collect())
     }
 }
+
+/// Returns the machine of a roster entry; one that can't be read leaves the others in force.
+fn machine(entry: &RawValue) -> Option<Machine> {
+    let machine = serde_json::from_str(entry.get());
+    let machine = machine.inspect_err(|why| log::warn!("event=machine-unreadable why=\"{why}\""));
+    machine.ok()
+}
