Demote a primary through the instances that reach it

Cause, shown by a test in the suite: an instance that is cut off from a primary replaces it while others use it. The survey takes the holders at its moment; a replica that joins, or a paused one that restarts, before the promotion takes effect receives from the old primary, which acknowledges commits with its help that the promoted server lacks.

Change: the instances whose views show that they reach the primary are asked to demote it, before the survey (failover::Mediation; two datagrams, version 2). A demoted primary acknowledges nothing more, so the replicas need no pause and one with its whole log succeeds it, as in a planned replacement; after three attempts without such a replica they are paused, as before. Where nobody demotes it, the survey is repeated if a server has joined since, and all replicas but the chosen one are paused every 50 ms until the promotion has taken effect.

Conclusion: the old primary itself closes the window; the list of servers can't, as it is never complete.

--- a/crates/relay/src/failover/command.rs
+++ b/crates/relay/src/failover/command.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use endpoint::Position;
+use endpoint::Role;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
@@ -86,6 +88,27 @@
     ran
 }
 
+/// Demotes a primary that another instance replaces; returns its last position if it leads no more.
+pub async fn demote(
+    node: &Node,
+    group: &Group,
+    server: &Arc<Server>,
+    term: u64,
+) -> Option<Position> {
+    let status = run_pooled(node, server, &Statement::Demote { term }).await?;
+    if status.role == Role::Primary {
+        return None;
+    }
+    log::info!(
+        "event=primary-demoted group={} server={} position={}",
+        group.name,
+        server.name,
+        status.received
+    );
+    group.on_not_leader(&server.name);
+    Some(status.received)
+}
+
 /// Returns whether an error proves that a server is gone from its address.
 pub fn shows_server_gone(error: &Error) -> bool {
     // Either nothing listens there or a different server does.
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -10,9 +10,11 @@
 use futures::future::join;
 use futures::future::join_all;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::external::Status;
 use crate::failover::Choice;
+use crate::failover::Mediation;
 use crate::failover::Opinion;
 use crate::failover::Phase;
 use crate::failover::Promotion;
@@ -28,6 +30,7 @@
 use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
+use crate::peers::View;
 use crate::settings;
 use crate::task;
 
@@ -50,6 +53,11 @@
 /// Attempts to demote a primary in an evacuated zone before it counts as silent; one lost reply is
 /// no reason to pause the replicas.
 const DEMOTION_ATTEMPTS_MAX: u32 = 2;
+/// Attempts to find a replica with the whole log of a primary that other instances demoted, before the
+/// replicas are paused; what the primary sent last arrives within a round trip.
+const TAIL_ATTEMPTS_MAX: u32 = 3;
+/// How often replicas are paused again while a promotion takes effect.
+const PAUSE_PERIOD: Duration = Duration::from_millis(50);
 /// A waiting failover is logged once per this many attempts.
 const ATTEMPTS_PER_LOG_LINE: u32 = 8;
 
@@ -67,6 +75,10 @@
     /// The end of the other instances' reliance on the old primary; `None` where a replaced primary
     /// refuses statements by itself.
     retirement: Option<Retirement>,
+    /// The other instances that reach the old primary.
+    mediation: Mediation,
+    /// Whether the old primary was demoted, so that replicas need not be paused to read their logs.
+    is_handover: bool,
 }
 
 impl<'a> Replacement<'a> {
@@ -80,6 +92,8 @@
             term: lock(&group.leadership).term(),
             was_replaced: false,
             retirement: None,
+            mediation: Mediation::default(),
+            is_handover: reason.is_planned(),
         }
     }
 
@@ -92,6 +106,8 @@
             .query_views(self.node, &self.group.name, PEER_VIEW_TIMEOUT)
             .await;
         let old = self.old.as_ref().map(|old| &old.name);
+        self.mediation = Mediation::open(&views, old);
+        let views: Vec<View> = views.into_iter().map(|(_, view)| view).collect();
         let opinion = Opinion::of(&views, old);
         if opinion.answers * 2 < self.node.peer_addresses().len() {
             // Most instances are unreachable, so they may reach a primary that this one can't.
@@ -291,6 +307,11 @@
             {
                 return Some(old);
             }
+            if attempt == 1 {
+                self.demote_through_others(&mut survey).await;
+            } else if attempt > TAIL_ATTEMPTS_MAX {
+                self.is_handover = self.reason.is_planned();
+            }
             if let Some(retirement) = &mut self.retirement {
                 retirement.request(self.node, self.group).await;
             }
@@ -302,6 +323,7 @@
                 // The zone may have failed; then only paused replicas prove what was acknowledged.
                 log::info!("event=primary-not-demoted group={}", self.group.name);
                 self.reason = Reason::Silent;
+                self.is_handover = false;
             }
             if !self.is_unchecked()
                 && let Some(leader) = self.other_leader()
@@ -313,6 +335,7 @@
                 None => survey.choose(),
             };
             match choice {
+                Choice::Promote(_) if self.has_unknown_holder(&survey) => continue,
                 Choice::Promote(_) if !self.is_unused(&survey) => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
@@ -323,7 +346,12 @@
                     );
                     self.promotion().request(claim, &chosen).await?;
                     self.believe(self.group.server(&chosen).as_ref());
-                    self.promotion().wait_for_proof(&chosen).await;
+                    let promotion = self.promotion();
+                    tokio::select! {
+                        () = promotion.wait_for_proof(&chosen) => {}
+                        () = self.keep_paused(&chosen, self.next_term(&survey)),
+                            if survey.demoted.is_none() => {}
+                    }
                     return Some(chosen);
                 }
                 Choice::Wait { why } => self.log_wait(attempt, why, &survey),
@@ -339,6 +367,46 @@
         None
     }
 
+    /// Has other instances demote a primary that only this one doesn't reach.
+    async fn demote_through_others(&mut self, survey: &mut Survey) {
+        let Some(old) = self.old.as_ref().filter(|_| self.reason == Reason::Silent) else {
+            return;
+        };
+        let term = self.next_term(survey);
+        let mediation = &self.mediation;
+        let demoted = mediation.request(self.node, self.group, old, term).await;
+        self.is_handover = demoted.is_some();
+        survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
+    }
+
+    /// Returns a term above every one that this instance knows of.
+    fn next_term(&self, survey: &Survey) -> u64 {
+        self.term.max(survey.acknowledged.term) + 1
+    }
+
+    /// Returns whether a server that may hold acknowledged commits has joined since the survey.
+    fn has_unknown_holder(&self, survey: &Survey) -> bool {
+        let holders = self.group.commit_holders(self.node.now());
+        holders.iter().any(|name| !survey.holders.contains(name))
+    }
+
+    /// Pauses all replicas but the chosen one again and again, those too that join or restart while a
+    /// promotion takes effect; a primary that was not demoted could commit with their help until then.
+    async fn keep_paused(&self, chosen: &Arc<str>, term: u64) {
+        let statement = Statement::Pause { term };
+        loop {
+            let servers = self.group.servers();
+            let old = self.old.as_ref().map(|old| &old.name);
+            let others = servers
+                .iter()
+                .filter(|server| server.name != *chosen && Some(&server.name) != old);
+            let pauses = others.map(|server| command::run_pooled(self.node, server, &statement));
+            join_all(pauses).await;
+            // A server that joins is paused at once.
+            let _elapsed = timeout(PAUSE_PERIOD, self.group.changed.notified()).await;
+        }
+    }
+
     /// Logs that a replacement waits, once per several attempts.
     fn log_wait(&self, attempt: u32, why: &str, survey: &Survey) {
         if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
@@ -409,15 +477,14 @@
             .filter(|server| server.is_evacuated())
             .map(|server| Arc::clone(&server.name))
             .collect();
-        let term = self.term.max(survey.acknowledged.term) + 1;
+        let term = self.next_term(survey);
         // A server paused by an earlier attempt may have restarted since.
         survey.paused.clear();
         survey.receiving.clear();
-        let is_planned = self.reason.is_planned();
         let this = &*self;
         let requests = servers.iter().map(|server| async move {
             let is_old = this.old.as_ref().is_some_and(|old| old.name == server.name);
-            let statement = match (is_old, is_planned) {
+            let statement = match (is_old, this.is_handover) {
                 // A silent primary is left alone, as it may recover.
                 (true, _) if this.reason == Reason::Silent => return (server, true, None),
                 (true, _) => Statement::Demote { term },
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -16,7 +16,7 @@
 const RECENT_COMMIT_AGE_MS: u64 = 700;
 
 /// The version of the datagrams that this build sends; it grows whenever a message is added.
-const VERSION: u32 = 1;
+const VERSION: u32 = 2;
 
 /// A datagram between two instances.
 ///
@@ -163,6 +163,25 @@
         /// The requests by server.
         counts: Counts,
     },
+    /// Requests that the receiver demotes a group's primary, which the sender replaces and doesn't
+    /// reach.
+    DemoteLeader {
+        /// Returned with the response.
+        id: u64,
+        /// The group.
+        group: Arc<str>,
+        /// The primary.
+        server: Arc<str>,
+        /// The term of the demotion; a primary of this term or a later one stays.
+        term: u64,
+    },
+    /// Reports that the primary of a `DemoteLeader` leads no more.
+    LeaderDemoted {
+        /// The number of the request.
+        id: u64,
+        /// The last position of its log.
+        received: Position,
+    },
 }
 
 /// An instance's view of a group.
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 
 use clock::Span;
+use endpoint::Position;
 use seal::Authenticator;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::Error;
+use crate::failover;
 use crate::group::Group;
 use crate::metrics::Rejection;
 use crate::node::Node;
@@ -52,9 +54,11 @@
     seal: OnceLock<Authenticator>,
     next_query: AtomicU64,
     /// Outstanding queries for views, by number.
-    queries: Mutex<BTreeMap<u64, mpsc::Sender<View>>>,
+    queries: Mutex<BTreeMap<u64, mpsc::Sender<(SocketAddr, View)>>>,
     /// Outstanding requests to give up a leader lease, by number; the names of those that did.
     revocations: Mutex<BTreeMap<u64, mpsc::Sender<Arc<str>>>>,
+    /// Outstanding requests to demote a primary, by number; its last position.
+    demotions: Mutex<BTreeMap<u64, mpsc::Sender<Position>>>,
 }
 
 impl Peers {
@@ -74,6 +78,7 @@
             next_query: AtomicU64::new(1),
             queries: Mutex::default(),
             revocations: Mutex::default(),
+            demotions: Mutex::default(),
         })
     }
 
@@ -107,8 +112,13 @@
     }
 
     /// Queries all live instances for their view of a group and returns the views that arrive
-    /// within `wait`.
-    pub async fn query_views(&self, node: &Node, group: &Arc<str>, wait: Duration) -> Vec<View> {
+    /// within `wait`, with the address of each instance.
+    pub async fn query_views(
+        &self,
+        node: &Node,
+        group: &Arc<str>,
+        wait: Duration,
+    ) -> Vec<(SocketAddr, View)> {
         let addresses = node.peer_addresses();
         let id = self.next_query.fetch_add(1, Ordering::Relaxed);
         let (sender, mut receiver) = mpsc::channel(VIEWS_MAX);
@@ -162,6 +172,34 @@
         lock(&self.revocations).remove(&id);
         given_up
     }
+
+    /// Asks instances to demote a group's primary; returns its last position as soon as one of them
+    /// did, `None` if none did within `wait`.
+    pub async fn demote_leader(
+        &self,
+        node: &Node,
+        group: &Arc<str>,
+        server: &Arc<str>,
+        term: u64,
+        instances: &[SocketAddr],
+        wait: Duration,
+    ) -> Option<Position> {
+        let id = self.next_query.fetch_add(1, Ordering::Relaxed);
+        let (sender, mut receiver) = mpsc::channel(instances.len().max(1));
+        lock(&self.demotions).insert(id, sender);
+        for address in instances {
+            let payload = Payload::DemoteLeader {
+                id,
+                group: Arc::clone(group),
+                server: Arc::clone(server),
+                term,
+            };
+            self.send(node, *address, payload).await;
+        }
+        let demoted = tokio::time::timeout(wait, receiver.recv()).await;
+        lock(&self.demotions).remove(&id);
+        demoted.ok().flatten()
+    }
 }
 
 /// Receives and handles datagrams until the process ends.
@@ -329,7 +367,7 @@
         }
         Payload::View { id, view } => {
             let sender = lock(&node.peers.queries).get(&id).cloned();
-            let is_taken = sender.is_some_and(|sender| sender.try_send(view).is_ok());
+            let is_taken = sender.is_some_and(|sender| sender.try_send((address, view)).is_ok());
             if !is_taken {
                 log::debug!("event=view-late from={}", datagram.from);
             }
@@ -359,6 +397,32 @@
                 node.transferred.notify_one();
             }
         }
+        Payload::DemoteLeader {
+            id,
+            group,
+            server,
+            term,
+        } => {
+            let group = node.group(&group);
+            let known = group.and_then(|group| Some((group.server(&server)?, group)));
+            if let Some((server, group)) = known {
+                let node = Arc::clone(node);
+                tokio::spawn(async move {
+                    let received = failover::demote(&node, &group, &server, term).await;
+                    if let Some(received) = received {
+                        let payload = Payload::LeaderDemoted { id, received };
+                        node.peers.send(&node, address, payload).await;
+                    }
+                });
+            }
+        }
+        Payload::LeaderDemoted { id, received } => {
+            let sender = lock(&node.peers.demotions).get(&id).cloned();
+            let is_taken = sender.is_some_and(|sender| sender.try_send(received).is_ok());
+            if !is_taken {
+                log::debug!("event=demotion-late from={address}");
+            }
+        }
     }
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod leadership;
 mod lease;
 mod logger;
+mod mediation;
 mod metrics;
 mod opinion;
 mod pool;
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -9,6 +9,7 @@
 use relay::message::Code;
 use relay::message::Statement;
 use store::Table;
+use test_case::test_case;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -336,3 +337,41 @@
     assert!(gap < WRITE_GAP_MAX, "the gap was {gap:?}");
     assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
+
+/// A server that joins while a primary is replaced was in no survey: with it the old primary, which only
+/// the instance that replaced it did not reach, acknowledged commits that the promoted server lacked.
+#[test_case("a replica joins"; "a replica joins")]
+#[test_case("a replica restarts"; "a paused replica restarts")]
+#[tokio::test]
+async fn a_primary_that_others_reach_acknowledges_nothing_once_its_successor_is_chosen(
+    event: &str,
+) {
+    let world = World::open();
+    let cut_off = world.start("i1").await;
+    let other = world.start("i2").await;
+    let mut client = other.connect("orders").await;
+    client.write("x", "0").await.expect("a write");
+    world.group.cut("i1", "a");
+    let mut has_happened = false;
+    for round in 1..400 {
+        // A write of this time may fail or be in doubt; none that succeeded may be lost.
+        let _outcome = client.write("x", &round.to_string()).await;
+        if !has_happened && !world.group.orders().is_empty() {
+            has_happened = true;
+            match event {
+                // It copies the log of the primary, if there still is one.
+                "a replica joins" if world.group.leader().is_some() => world.group.join("d"),
+                "a replica restarts" => world.group.resume("c"),
+                _ => {}
+            }
+        }
+        if world.group.leader().is_some_and(|leader| &*leader != "a") {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    drop(cut_off);
+    assert!(has_happened, "the primary was replaced");
+    assert_ne!(world.group.leader().as_deref(), Some("a"));
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
--- a/crates/relay/tests/relay/upgrade.rs
+++ b/crates/relay/tests/relay/upgrade.rs
@@ -249,6 +249,32 @@
     }
 }
 
+/// The landed build doesn't know these messages, so their numbers follow those that it knows.
+#[test]
+fn messages_that_were_added_are_read_by_this_version_only() {
+    let added = [
+        Payload::DemoteLeader {
+            id: 6,
+            group: text("catalog"),
+            server: text("i-1"),
+            term: 3,
+        },
+        Payload::LeaderDemoted {
+            id: 6,
+            received: Position {
+                term: 2,
+                offset: 1_208,
+            },
+        },
+    ];
+    for (payload, number) in added.iter().zip(15..) {
+        let sent = datagram(payload).encode().expect("encodes");
+        assert_eq!(sent[7], number, "{payload:?}");
+        let decoded = Datagram::decode(&sent);
+        assert_eq!(decoded, Ok((datagram(payload), 2)));
+    }
+}
+
 fn row(key: &str) -> Row {
     let mut lines = ROWS.lines().filter_map(|line| line.split_once(' '));
     let (_, value) = lines
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -223,6 +223,11 @@
         self.change(name, |server| server.paused = term);
     }
 
+    /// Lets a replica receive the log again, as its restart does.
+    pub fn resume(&self, name: &str) {
+        self.change(name, |server| server.paused = 0);
+    }
+
     /// Returns the leader.
     pub fn leader(&self) -> Option<Arc<str>> {
         self.lock().leader.clone()
