Record departed servers again after the store returned from an older copy

An instance that starts later doesn't know that the server may hold acknowledged commits and may promote one without them.

Change: what was recorded in an earlier era of the table counts as not recorded; instances compare the row with what they know and write it again.

Conclusion: a row that was written once must be checked again in a new era.

--- a/crates/relay/src/failover/departed.rs
+++ b/crates/relay/src/failover/departed.rs
@@ -29,6 +29,7 @@
 pub async fn watch_departed(node: Arc<Node>, group: Arc<Group>) {
     loop {
         let departed = group.departed(node.now());
+        lock(&group.departures).on_era(node.dependencies.table.era());
         if lock(&group.departures).needs_update(&departed) {
             update_row(&node, &group, &departed).await;
         }
--- a/crates/relay/src/failover/departures.rs
+++ b/crates/relay/src/failover/departures.rs
@@ -30,6 +30,8 @@
     /// The servers that this instance added to the row or found there when it first read it;
     /// it removes only these.
     recorded: BTreeSet<Arc<str>>,
+    /// The table's era in which they were recorded.
+    era: u64,
 }
 
 impl Departures {
@@ -54,6 +56,14 @@
         self.is_read
     }
 
+    /// Forgets what was recorded in an earlier era of the table, which may have lost it.
+    pub fn on_era(&mut self, era: u64) {
+        if era > self.era {
+            self.era = era;
+            self.recorded.clear();
+        }
+    }
+
     /// Returns whether the row must be read or updated, given the servers known to have departed.
     pub fn needs_update(&self, departed: &Departed) -> bool {
         !self.is_read || !departed.keys().eq(self.recorded.iter())
--- a/crates/relay/tests/relay/store_return.rs
+++ b/crates/relay/tests/relay/store_return.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use relay::external::Order;
+use relay::failover::Departures;
 use store::Table;
 use store::version;
 use tokio::time::sleep;
 
+use crate::world::GROUP;
 use crate::world::World;
 
 /// Retires the primary and returns the order by which it was replaced.
@@ -57,3 +59,24 @@
     assert_eq!(world.table.era(), 1, "the table returned");
     assert_eq!(version::era(order.token), 1, "{order:?}");
 }
+
+/// An instance that starts after the return would not know that the departed server may hold commits.
+#[tokio::test(start_paused = true)]
+async fn departed_servers_are_recorded_again_after_the_table_returned() {
+    let world = World::open();
+    let _instance = world.start("i1").await;
+    let backup = world.table.back_up();
+    world.set_entry("c", 3, true);
+    sleep(Duration::from_millis(500)).await;
+    world.servers.change(|rows| {
+        rows.remove("c");
+    });
+    for round in 0..2 {
+        sleep(Duration::from_secs(4)).await;
+        let row = world.table.get(&Departures::key(GROUP)).await;
+        let row = row.expect("a read");
+        let recorded = Departures::parse(GROUP, row.as_ref());
+        assert!(recorded.contains_key("c"), "round {round}");
+        world.table.restore(backup.clone());
+    }
+}
