Leave out the pauses that close no window of a replacement

The second way changes nothing here: the old primary commits with a joining replica before any instance knows its entry. It is removed.

A demoted primary serves no more latest reads while its successor takes over.

Conclusion: kept is what closes the window.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -10,7 +10,6 @@
 use futures::future::join;
 use futures::future::join_all;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::external::Status;
 use crate::failover::Choice;
@@ -56,8 +55,6 @@
 /// Attempts to find a replica with the whole log of a primary that other instances demoted, before the
 /// replicas are paused; what the primary sent last arrives within a round trip.
 const TAIL_ATTEMPTS_MAX: u32 = 3;
-/// How often replicas are paused again while a promotion takes effect.
-const PAUSE_PERIOD: Duration = Duration::from_millis(50);
 /// A waiting failover is logged once per this many attempts.
 const ATTEMPTS_PER_LOG_LINE: u32 = 8;
 
@@ -335,7 +332,6 @@
                 None => survey.choose(),
             };
             match choice {
-                Choice::Promote(_) if self.has_unknown_holder(&survey) => continue,
                 Choice::Promote(_) if !self.is_unused(&survey) => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
@@ -346,12 +342,7 @@
                     );
                     self.promotion().request(claim, &chosen).await?;
                     self.believe(self.group.server(&chosen).as_ref());
-                    let promotion = self.promotion();
-                    tokio::select! {
-                        () = promotion.wait_for_proof(&chosen) => {}
-                        () = self.keep_paused(&chosen, self.next_term(&survey)),
-                            if survey.demoted.is_none() => {}
-                    }
+                    self.promotion().wait_for_proof(&chosen).await;
                     return Some(chosen);
                 }
                 Choice::Wait { why } => self.log_wait(attempt, why, &survey),
@@ -384,29 +375,6 @@
         self.term.max(survey.acknowledged.term) + 1
     }
 
-    /// Returns whether a server that may hold acknowledged commits has joined since the survey.
-    fn has_unknown_holder(&self, survey: &Survey) -> bool {
-        let holders = self.group.commit_holders(self.node.now());
-        holders.iter().any(|name| !survey.holders.contains(name))
-    }
-
-    /// Pauses all replicas but the chosen one again and again, those too that join or restart while a
-    /// promotion takes effect; a primary that was not demoted could commit with their help until then.
-    async fn keep_paused(&self, chosen: &Arc<str>, term: u64) {
-        let statement = Statement::Pause { term };
-        loop {
-            let servers = self.group.servers();
-            let old = self.old.as_ref().map(|old| &old.name);
-            let others = servers
-                .iter()
-                .filter(|server| server.name != *chosen && Some(&server.name) != old);
-            let pauses = others.map(|server| command::run_pooled(self.node, server, &statement));
-            join_all(pauses).await;
-            // A server that joins is paused at once.
-            let _elapsed = timeout(PAUSE_PERIOD, self.group.changed.notified()).await;
-        }
-    }
-
     /// Logs that a replacement waits, once per several attempts.
     fn log_wait(&self, attempt: u32, why: &str, survey: &Survey) {
         if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
