Ask others to demote a primary only where a replica can succeed it

Change: the primary is demoted through others only once a replica has answered this instance. Replacements of a stuck primary that doesn't answer go through others too; a demoted primary is not asked again.

Measured: a_primary_is_not_demoted_by_an_instance_that_reaches_no_server failed before (every write refused).

Conclusion: before a primary is taken away, its successor must be in reach.

--- a/crates/relay/src/failover/mediation.rs
+++ b/crates/relay/src/failover/mediation.rs
@@ -54,9 +54,6 @@
         server: &Server,
         term: u64,
     ) -> Option<Position> {
-        if self.instances.is_empty() {
-            return None;
-        }
         let demoted = node
             .peers
             .demote_leader(
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -7,8 +7,10 @@
 use clock::Span;
 use endpoint::Position;
 use endpoint::Role;
+use futures::StreamExt;
 use futures::future::join;
 use futures::future::join_all;
+use futures::stream::FuturesUnordered;
 use tokio::time::sleep;
 
 use crate::external::Status;
@@ -360,16 +362,37 @@
 
     /// Has other instances demote a primary that only this one doesn't reach.
     async fn demote_through_others(&mut self, survey: &mut Survey) {
-        let Some(old) = self.old.as_ref().filter(|_| self.reason == Reason::Silent) else {
+        // A primary that leaves answers this instance, which demotes it itself.
+        let Some(old) = self.old.as_ref().filter(|_| !self.reason.is_planned()) else {
             return;
         };
+        if self.mediation.instances().is_empty() || !self.reaches_replica(&old.name).await {
+            // Nobody could succeed the primary.
+            return;
+        }
         let term = self.next_term(survey);
         let mediation = &self.mediation;
         let demoted = mediation.request(self.node, self.group, old, term).await;
-        self.is_handover = demoted.is_some();
+        self.is_handover |= demoted.is_some();
         survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
     }
 
+    /// Returns whether a server other than the old primary answers.
+    async fn reaches_replica(&self, old: &str) -> bool {
+        let servers = self.group.servers();
+        let mut answers: FuturesUnordered<_> = servers
+            .iter()
+            .filter(|server| *server.name != *old)
+            .map(|server| command::run_pooled(self.node, server, &Statement::Status))
+            .collect();
+        while let Some(status) = answers.next().await {
+            if status.is_some() {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Returns a term above every one that this instance knows of.
     fn next_term(&self, survey: &Survey) -> u64 {
         self.term.max(survey.acknowledged.term) + 1
@@ -450,11 +473,13 @@
         survey.paused.clear();
         survey.receiving.clear();
         let this = &*self;
+        // A silent primary is left alone, as it may recover.
+        let leaves_old_alone = self.reason == Reason::Silent
+            || (survey.demoted.is_some() && !self.reason.is_planned());
         let requests = servers.iter().map(|server| async move {
             let is_old = this.old.as_ref().is_some_and(|old| old.name == server.name);
             let statement = match (is_old, this.is_handover) {
-                // A silent primary is left alone, as it may recover.
-                (true, _) if this.reason == Reason::Silent => return (server, true, None),
+                (true, _) if leaves_old_alone => return (server, true, None),
                 (true, _) => Statement::Demote { term },
                 (false, true) => Statement::Status,
                 (false, false) => Statement::Pause { term },
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -21,6 +21,7 @@
 mod opinion;
 mod pool;
 mod replacement;
+mod replacement_schedule;
 mod reports;
 mod schedule;
 mod sessions;
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -375,3 +375,22 @@
     assert_ne!(world.group.leader().as_deref(), Some("a"));
     assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
+
+/// An instance that reaches neither the primary nor a replica had others demote the primary, and nobody
+/// could be promoted.
+#[tokio::test]
+async fn a_primary_is_not_demoted_by_an_instance_that_reaches_no_server() {
+    let world = World::open();
+    let _cut_off = world.start("i1").await;
+    let other = world.start("i2").await;
+    let mut client = other.connect("orders").await;
+    for server in ["a", "b", "c"] {
+        world.group.cut("i1", server);
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(3) {
+        client.write("x", "1").await.expect("the primary stays");
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(world.group.leader().as_deref(), Some("a"));
+}
--- a/crates/relay/tests/relay/world/caller.rs
+++ b/crates/relay/tests/relay/world/caller.rs
@@ -6,6 +6,7 @@
 use relay::Error;
 use relay::external::Caller;
 use relay::external::Listener;
+use relay::message::Code;
 use relay::message::Failure;
 use relay::message::Message;
 use relay::message::Reply;
@@ -114,6 +115,7 @@
         match client.sent.recv().await {
             Some(Sent::Accepted) => Ok(client),
             Some(Sent::Refused(failure)) => Err(failure),
+            None => Err(Failure::new(Code::Busy, "the session was closed")),
             other => panic!("the session began with {other:?}"),
         }
     }
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -80,6 +80,8 @@
 pub(super) struct Inner {
     pub(super) servers: BTreeMap<Arc<str>, Server>,
     pub(super) leader: Option<Arc<str>>,
+    /// The primary that crashed, as long as no other server was promoted.
+    pub(super) crashed_primary: Option<Arc<str>>,
     pub(super) term: u64,
     /// The highest fencing token of a promotion order.
     pub(super) token: u64,
@@ -147,7 +149,7 @@
         self.change(name, |server| server.is_down = true);
         let mut inner = self.lock();
         if inner.leader.as_deref() == Some(name) {
-            inner.leader = None;
+            inner.crashed_primary = inner.leader.take();
         }
     }
 
@@ -161,6 +163,14 @@
         self.lock().keeps_deposed = true;
     }
 
+    /// Makes replaced primaries stop acting as such, as they do once they reach their successors.
+    pub fn end_deposed(&self) {
+        let mut inner = self.lock();
+        for server in inner.servers.values_mut() {
+            server.is_deposed = false;
+        }
+    }
+
     /// Loses all further promotion orders.
     pub fn lose_orders(&self) {
         self.lock().loses_orders = true;
@@ -172,6 +182,25 @@
         self.lock().cuts.insert(cut);
     }
 
+    /// Ends all cuts of an instance.
+    pub fn heal(&self, instance: &str) {
+        self.lock().cuts.retain(|(cut, _)| **cut != *instance);
+    }
+
+    /// Starts a crashed server with its log; it leads again if it did and no other server was promoted.
+    pub fn restart(&self, name: &str) {
+        let mut inner = self.lock();
+        let server = inner.server(name);
+        if !std::mem::take(&mut server.is_down) {
+            return;
+        }
+        server.paused = 0;
+        let was_primary = inner.crashed_primary.take_if(|crashed| **crashed == *name);
+        if inner.leader.is_none() {
+            inner.leader = was_primary;
+        }
+    }
+
     /// Sets whether a replica is partitioned from the primary.
     pub fn isolate(&self, name: &str, is_isolated: bool) {
         self.change(name, |server| server.is_isolated = is_isolated);
@@ -386,6 +415,7 @@
             return;
         }
         inner.term += 1;
+        inner.crashed_primary = None;
         let former = inner.leader.replace(Arc::clone(chosen));
         let keeps_deposed = inner.keeps_deposed;
         if let Some(former) = former.filter(|_| keeps_deposed) {
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -205,7 +205,10 @@
                 self.values.clear();
                 self.prepared.clear();
             }
-            Statement::Pause { term } => inner.server(&self.server).paused = *term,
+            // Only a replica is paused, and only with a term above the newest.
+            Statement::Pause { term } if !is_leader && *term > inner.term => {
+                inner.server(&self.server).paused = *term;
+            }
             Statement::Resume => {
                 let server = inner.server(&self.server);
                 server.paused = 0;
