--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -125,35 +125,36 @@
         };
         let (condition, write) = lease.compare_and_set(&group.name, row.as_ref());
         let commit = node.dependencies.table.commit(vec![condition], vec![write]);
-        match timeout(TABLE_TIMEOUT, commit).await {
-            Ok(Ok(Outcome::Committed { version })) => {
-                lease.is_of_era(version).then_some(())?;
-                node.leases.on_lease(&group.name, &lease);
-                Some(Self {
-                    lease,
-                    version,
-                    renewed: now,
-                    is_predecessor_unfinished,
-                })
-            }
-            Ok(Ok(Outcome::Conflict { .. })) => None,
+        let version = match timeout(TABLE_TIMEOUT, commit).await {
+            Ok(Ok(Outcome::Committed { version })) => version,
+            Ok(Ok(Outcome::Conflict { .. })) => return None,
             failed => {
                 log::info!(
                     "event=duty-in-doubt group={} why=\"{failed:?}\"",
                     group.name
                 );
                 let row = row::read(node, group, &key).await??;
-                let is_ours = Lease::parse(&row).is_some_and(|read| read == lease);
-                (is_ours && lease.is_of_era(row.version)).then_some(())?;
-                node.leases.on_lease(&group.name, &lease);
-                Some(Self {
-                    lease,
-                    version: row.version,
-                    renewed: now,
-                    is_predecessor_unfinished,
-                })
+                if Lease::parse(&row).is_none_or(|read| read != lease) {
+                    return None;
+                }
+                row.version
             }
+        };
+        if !lease.is_of_era(version) {
+            log::info!(
+                "event=duty-outdated group={} token={} why=\"the table returned from an older copy\"",
+                group.name,
+                lease.token
+            );
+            return None;
         }
+        node.leases.on_lease(&group.name, &lease);
+        Some(Self {
+            lease,
+            version,
+            renewed: now,
+            is_predecessor_unfinished,
+        })
     }
 
     /// Renews the lease with `phase`; returns whether this instance still holds it.
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -49,8 +49,8 @@
     /// record it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub address: Option<SocketAddr>,
-    /// The fencing token; it grows each time the lease is acquired and is never reused. It is not
-    /// below the era of the table in which the lease was acquired.
+    /// The fencing token; it grows each time the lease is acquired and is never reused. Its
+    /// upper bits hold the table's era in which the lease was acquired, or a later one.
     pub token: u64,
     /// The state of the holder's failover.
     pub phase: Phase,
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -76,7 +76,7 @@
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
     mediation: Mediation,
-    /// Whether the old primary was demoted, so that replicas need not be paused to read their logs.
+    /// Whether the old primary steps down, so that replicas need not be paused to read their logs.
     is_handover: bool,
 }
 
