--- a/crates/relay/src/failover/mediation.rs
+++ b/crates/relay/src/failover/mediation.rs
@@ -32,7 +32,7 @@
     pub fn open(views: &[(SocketAddr, View)], old: Option<&Arc<str>>) -> Self {
         let mut reaching: Vec<&(SocketAddr, View)> = views
             .iter()
-            .filter(|(_, view)| view.leader.is_some() && view.leader.as_ref() == old)
+            .filter(|(_, view)| view.confirms(old))
             .collect();
         reaching.sort_by_key(|(_, view)| (view.commit_age_ms, !view.is_prober));
         let addresses = reaching.iter().map(|(address, _)| *address);
--- a/crates/relay/src/failover/opinion.rs
+++ b/crates/relay/src/failover/opinion.rs
@@ -37,7 +37,7 @@
             ..Self::default()
         };
         for view in views {
-            let confirms = view.leader.is_some() && view.leader.as_ref() == old;
+            let confirms = view.confirms(old);
             opinion.probers += usize::from(view.is_prober);
             opinion.confirming += usize::from(view.is_prober && confirms);
             opinion.newer += usize::from(view.leader.is_some() && !confirms);
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -202,6 +202,11 @@
 }
 
 impl View {
+    /// Returns whether `server` proved its leadership to the instance recently.
+    pub fn confirms(&self, server: Option<&Arc<str>>) -> bool {
+        self.leader.is_some() && self.leader.as_ref() == server
+    }
+
     /// Returns whether a commit that the instance sent recently was acknowledged.
     pub fn has_recent_commit(&self) -> bool {
         self.leader.is_some() && self.commit_age_ms < RECENT_COMMIT_AGE_MS
