Log what views rest on and commits acknowledged in a replacement

Nothing told whether views were late, named nobody, or no replica answered, and nothing showed that an instance acknowledges a commit after it was told of a replacement.

--- a/crates/relay/src/failover/command.rs
+++ b/crates/relay/src/failover/command.rs
@@ -95,10 +95,15 @@
     server: &Arc<Server>,
     term: u64,
 ) -> Option<Position> {
-    let status = run_pooled(node, server, &Statement::Demote { term }).await?;
-    if status.role == Role::Primary {
+    let status = run_pooled(node, server, &Statement::Demote { term }).await;
+    let Some(status) = status.filter(|status| status.role != Role::Primary) else {
+        log::info!(
+            "event=demotion-failed group={} server={} term={term}",
+            group.name,
+            server.name
+        );
         return None;
-    }
+    };
     log::info!(
         "event=primary-demoted group={} server={} position={}",
         group.name,
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -108,6 +108,16 @@
         self.mediation = Mediation::open(&views, old);
         let views: Vec<View> = views.into_iter().map(|(_, view)| view).collect();
         let opinion = Opinion::of(&views, old);
+        log::info!(
+            "event=views group={} reason={} old={} asked={} answers={} naming={} newer={}",
+            self.group.name,
+            self.reason,
+            old.map_or("-", |old| old),
+            self.node.peer_addresses().len(),
+            opinion.answers,
+            views.iter().filter(|view| view.confirms(old)).count(),
+            opinion.newer
+        );
         if opinion.answers * 2 < self.node.peer_addresses().len() {
             // Most instances are unreachable, so they may reach a primary that this one can't.
             self.group
@@ -366,8 +376,18 @@
         let Some(old) = self.old.as_ref().filter(|_| !self.reason.is_planned()) else {
             return;
         };
-        if self.mediation.instances().is_empty() || !self.reaches_replica(&old.name).await {
+        let why = match self.mediation.instances().is_empty() {
+            true => Some("no instance names the primary"),
             // Nobody could succeed the primary.
+            false if !self.reaches_replica(&old.name).await => Some("no replica answers"),
+            false => None,
+        };
+        if let Some(why) = why {
+            log::info!(
+                "event=primary-not-demoted-by-others group={} server={} why=\"{why}\"",
+                self.group.name,
+                old.name
+            );
             return;
         }
         let term = self.next_term(survey);
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -654,6 +654,13 @@
 
     /// Applies a commit, sent at `sent`, that the leader acknowledged.
     pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
+        if lock(&self.recheck).is_scheduled() {
+            log::info!(
+                "event=commit-acknowledged-in-replacement group={} server={server} position={position} ms={}",
+                self.name,
+                self.clock.now().since(sent).as_millis()
+            );
+        }
         self.on_proof(sent, server, position);
         lock(&self.leadership).on_acknowledged(sent, position);
         // The servers that acknowledged it hold every earlier commit too.
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -260,6 +260,7 @@
                 // The sender is about to replace the leader.
                 lock(&group.recheck).on_replacement(node.now());
                 let view = view(node, &group);
+                log_view(node, &group, &datagram.from);
                 node.peers
                     .send(node, address, Payload::View { id, view })
                     .await;
@@ -426,6 +427,22 @@
     }
 }
 
+/// Logs what a view rests on; it names a leader only if the newest proof is recent.
+fn log_view(node: &Node, group: &Group, from: &Arc<str>) {
+    let leadership = lock(&group.leadership).clone();
+    let now = node.now();
+    let commits = group
+        .leader()
+        .map_or(0, |leader| lock(&leader.health).outstanding_commits());
+    log::info!(
+        "event=view-given group={} to={from} leader={} proof_age_ms={} commit_age_ms={} commits_in_flight={commits}",
+        group.name,
+        leadership.server().map_or("-", |server| server),
+        now.since(leadership.proven_at()).as_millis(),
+        now.since(leadership.committed_at()).as_millis()
+    );
+}
+
 fn view(node: &Node, group: &Group) -> View {
     let leadership = lock(&group.leadership);
     let is_recent = leadership.proven_at() + PROOF_AGE_MAX >= node.now();
