Test commits at primaries that are used while they are replaced

An instance acknowledges what a primary answers although a replacement of that primary is open. No test showed that: the existing ones count what the stand-in's servers acknowledge, also where an instance withholds it from its caller, and reach the window in some plays only.

The new tests compare what callers were told with the log of the promoted server. The stand-in can hold up requests, replies and datagrams between instances, delay transactions, and take one instance's table away.

--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -17,6 +17,8 @@
 use relay::message::Definition;
 use tokio::time::Instant;
 
+use super::Stall;
+
 /// The group's name.
 pub const GROUP: &str = "huvo";
 /// The duration of a promotion.
@@ -109,6 +111,10 @@
     pub(super) probers: BTreeSet<Arc<str>>,
     /// The servers from which an instance is cut off, by instance.
     pub(super) cuts: BTreeSet<(Arc<str>, Arc<str>)>,
+    /// What is held up between an instance and a server.
+    pub(super) stalls: BTreeMap<(Arc<str>, Arc<str>), Stall>,
+    /// How much later the replies to an instance's transactions arrive.
+    pub(super) delays: BTreeMap<Arc<str>, Duration>,
 }
 
 /// A group of three servers.
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -600,7 +600,7 @@
         self.start_on(name, key_grace, table, self.directives.clone())
     }
 
-    fn start_on(
+    pub(super) fn start_on(
         &self,
         name: &str,
         key_grace: Option<Span>,
@@ -696,7 +696,7 @@
     }
 
     /// Waits until statements are served.
-    async fn wait(&self) {
+    pub(super) async fn wait(&self) {
         for _ in 0..200 {
             tokio::time::sleep(Duration::from_millis(50)).await;
             if let Ok(mut client) = self.connect_as("orders", KEY).await
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -1,6 +1,7 @@
 //! Connections to the servers of the in-memory group.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use relay::message::Statement;
 use tokio::time::Instant;
 
+use super::Stall;
 use super::group::Group;
 use super::group::Inner;
 use super::group::Run;
@@ -28,6 +30,20 @@
 /// The duration of a statement.
 const STATEMENT_TIME: Duration = Duration::from_millis(5);
 
+/// How often a connection checks whether a stall has ended.
+const STALL_CHECK_PERIOD: Duration = Duration::from_millis(5);
+
+/// Returns whether only a primary runs a request.
+fn is_of_primary(request: &Request) -> bool {
+    matches!(
+        request.statement,
+        Statement::Begin {
+            is_read_only: false
+        } | Statement::Write { .. }
+            | Statement::Commit
+    )
+}
+
 /// One connection to one server.
 struct Link {
     group: Arc<Group>,
@@ -40,7 +56,11 @@
     /// Whether the open transaction may write.
     may_write: bool,
     writes: Vec<(String, String)>,
-    replies: std::collections::VecDeque<Option<Reply>>,
+    /// Requests that have not reached the server.
+    waiting: VecDeque<Request>,
+    replies: VecDeque<Option<Reply>>,
+    /// For each reply, whether only a primary gives it.
+    are_of_primary: VecDeque<bool>,
 }
 
 impl Link {
@@ -58,6 +78,24 @@
         inner.servers[&self.server].is_silent || inner.is_cut(&self.instance, &self.server)
     }
 
+    fn is_stalled(&self, stalls: &[Stall]) -> bool {
+        let stalled = self.group.stalled(&self.instance, &self.server);
+        stalled.is_some_and(|stalled| stalls.contains(&stalled))
+    }
+
+    /// Takes a request that has reached the server.
+    fn accept(&mut self, request: &Request) {
+        if self.is_silent() {
+            return;
+        }
+        let reply = self.run(request);
+        self.replies.push_back(reply);
+        self.are_of_primary.push_back(is_of_primary(request));
+        if request.id.is_some() {
+            self.group.depose();
+        }
+    }
+
     fn run(&mut self, request: &Request) -> Option<Reply> {
         let group = Arc::clone(&self.group);
         let mut inner = group.lock();
@@ -248,12 +286,15 @@
             if self.group.lock().servers[&self.server].is_down {
                 return Err(self.broken());
             }
-            if !self.is_silent() {
-                let reply = self.run(request);
-                self.replies.push_back(reply);
-                if request.id.is_some() {
-                    self.group.depose();
-                }
+            let is_demotion = matches!(request.statement, Statement::Demote { .. });
+            if is_demotion && self.is_stalled(&[Stall::Requests, Stall::Replies]) {
+                continue;
+            }
+            let is_stalled = is_of_primary(request) && self.is_stalled(&[Stall::Requests]);
+            if is_stalled || !self.waiting.is_empty() {
+                self.waiting.push_back(request.clone());
+            } else {
+                self.accept(request);
             }
         }
         Ok(())
@@ -261,6 +302,22 @@
 
     async fn receive(&mut self) -> Result<Reply, Error> {
         tokio::time::sleep(STATEMENT_TIME).await;
+        while !self.waiting.is_empty() && self.is_stalled(&[Stall::Requests]) {
+            tokio::time::sleep(STALL_CHECK_PERIOD).await;
+        }
+        if self.group.lock().servers[&self.server].is_down {
+            return Err(self.broken());
+        }
+        while let Some(request) = self.waiting.pop_front() {
+            self.accept(&request);
+        }
+        if self.are_of_primary.pop_front() == Some(true) {
+            while self.is_stalled(&[Stall::Requests, Stall::Replies]) {
+                tokio::time::sleep(STALL_CHECK_PERIOD).await;
+            }
+            let delay = self.group.lock().delays.get(&self.instance).copied();
+            tokio::time::sleep(delay.unwrap_or_default()).await;
+        }
         if self.group.lock().servers[&self.server].is_down {
             return Err(self.broken());
         }
@@ -331,7 +388,9 @@
             state: State::Idle,
             may_write: false,
             writes: Vec::new(),
-            replies: std::collections::VecDeque::new(),
+            waiting: VecDeque::new(),
+            replies: VecDeque::new(),
+            are_of_primary: VecDeque::new(),
         }))
     }
 }
