Play schedules with instances that take no part in a replacement

The schedules had two instances that always heard of a replacement, replicas that always received, and joins at random times.

The new schedule has three instances with frozen and cut-off ones, stalled and late transactions, isolated and lagging replicas, the table down for up to 6 s, and a replica that joins 50 to 600 ms after an order. It checks what callers were told, tokens, and service and pauses after recovery.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -19,6 +19,7 @@
 mod mediation;
 mod metrics;
 mod opinion;
+mod partition_schedule;
 mod pool;
 mod replaced_while_used;
 mod replacement;
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -696,7 +696,7 @@
     }
 
     /// Waits until statements are served.
-    pub(super) async fn wait(&self) {
+    pub async fn wait(&self) {
         for _ in 0..200 {
             tokio::time::sleep(Duration::from_millis(50)).await;
             if let Ok(mut client) = self.connect_as("orders", KEY).await
--- a/crates/relay/tests/relay/world/ledger.rs
+++ b/crates/relay/tests/relay/world/ledger.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use relay::message::Failure;
+use relay::message::Statement;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -50,7 +51,7 @@
         let number = self.number();
         let write = (format!("k{number}"), number.to_string());
         let arguments = Arc::from(format!("{} {}", write.0, write.1));
-        let statement = relay::message::Statement::Write { arguments };
+        let statement = Statement::Write { arguments };
         let Some(reply) = client.try_run(statement).await else {
             return false;
         };
@@ -76,9 +77,10 @@
             tasks.push(tokio::spawn(async move {
                 loop {
                     // A server answers this while writes wait for a replica.
-                    let number = ledger.number().to_string();
-                    client.set("trace", &number).await;
-                    if !ledger.write(&mut client).await {
+                    let value = Arc::from(ledger.number().to_string());
+                    let name = Arc::from("trace");
+                    let is_open = client.try_run(Statement::Set { name, value }).await;
+                    if is_open.is_none() || !ledger.write(&mut client).await {
                         return;
                     }
                     sleep(pause).await;
