Acknowledge commits only under a leader lease

Cause: an instance acknowledged whatever a primary answered, also while a replacement of that primary was open. The replacement relied on pausing the replicas that its holder knew; with one that joins, or restarts and forgets its pause, after the survey the old primary acknowledges commits that the promoted server lacks. Demotion through instances that had named the primary closed the window only where one was named and answered within 150 ms.

Change: instances keep the leader lease under both fencing modes. A commit is acknowledged if the lease is held and its replacement is the one from when the commit was sent; else once a replacement is settled that kept the server or found the commit in its survey; else it is in doubt. Where only the lease has expired, all known replicas must show the commit, unpaused and in its term. A replacement is settled by a message of its holder too, as the table may refuse the holder's write for seconds. Nobody claims a replacement who reaches no server that could succeed the primary.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -38,7 +38,7 @@
     /// The last holder finished its failover.
     NotNeeded,
     /// This instance now holds the lease and finishes the failover.
-    Acquired(Claim),
+    Acquired(Box<Claim>),
     /// The holder may still be alive, or the table does not answer.
     Unknown,
 }
@@ -69,6 +69,7 @@
             return Takeover::Unknown;
         };
         let lease = row.as_ref().and_then(Lease::parse);
+        let lease = lease.map(|lease| settled(group, lease));
         let phase = lease.map_or(Phase::Done, |lease| lease.phase);
         if phase == Phase::Done {
             return Takeover::NotNeeded;
@@ -79,7 +80,9 @@
         }
         let known_token = node.leases.newest_token(&group.name);
         let taken = Self::acquire_from(node, group, row, phase, known_token).await;
-        taken.map_or(Takeover::Unknown, Takeover::Acquired)
+        taken.map_or(Takeover::Unknown, |claim| {
+            Takeover::Acquired(Box::new(claim))
+        })
     }
 
     async fn acquire_from(
@@ -103,6 +106,7 @@
         if token(&newest) > token(&before) {
             before = newest;
         }
+        let before = before.map(|lease| settled(group, lease));
         if let Some(before) = before.as_ref().filter(|lease| lease.phase != Phase::Done) {
             // The previous holder may know servers that were removed before this instance started.
             group.restore_holders(&before.commit_holders);
@@ -111,14 +115,31 @@
             .as_ref()
             .is_some_and(|lease| lease.phase == Phase::Working);
         let known_token = known_token.max(before.as_ref().map_or(0, |before| before.token));
+        let token = next_token(node.dependencies.table.era(), row.as_ref(), known_token);
+        let has_request = before
+            .as_ref()
+            .is_some_and(|before| before.requested.is_some());
+        // Where fences are checked, requests are not recorded before they are made.
+        let may_have_requested =
+            is_predecessor_unfinished && (node.options.fencing == Fencing::Enforced || has_request);
+        let reign = match (&before, may_have_requested) {
+            (_, true) => Some(token),
+            (Some(before), false) => before.reign.or(Some(before.token)),
+            (None, false) => Some(0),
+        };
         let lease = Lease {
             holder: Arc::clone(&node.options.name),
             incarnation: node.incarnation,
             address: Some(node.options.peer),
-            token: next_token(node.dependencies.table.era(), row.as_ref(), known_token),
+            token,
             phase,
             commit_holders: group.commit_holders(now),
             leader: before.as_ref().and_then(|before| before.leader),
+            reign,
+            end: before
+                .as_ref()
+                .filter(|_| !may_have_requested)
+                .and_then(|before| before.end),
             requested: before
                 .filter(|before| before.phase == Phase::Working)
                 .and_then(|before| before.requested),
@@ -206,6 +227,22 @@
     }
 }
 
+/// Returns the lease as settled if its holder has announced that and could not write it.
+fn settled(group: &Group, lease: Lease) -> Lease {
+    let announced = group.announced_appointment(lease.token);
+    let Some(announced) = announced.filter(|_| lease.phase == Phase::Working) else {
+        return lease;
+    };
+    Lease {
+        phase: Phase::Appointed,
+        leader: announced.leader,
+        reign: Some(announced.reign),
+        end: announced.end,
+        requested: None,
+        ..lease
+    }
+}
+
 /// Returns the next fencing token after `known`, the highest one that is known.
 ///
 /// The row and the instances that knew a token may be gone once the table has returned from an older
--- a/crates/relay/src/failover/command.rs
+++ b/crates/relay/src/failover/command.rs
@@ -22,6 +22,11 @@
 /// Maximum wait for a server's reply to a command or status query.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Queries a server's replication state; `None` if it doesn't answer.
+pub async fn status(node: &Node, server: &Arc<Server>) -> Option<Status> {
+    run_pooled(node, server, &Statement::Status).await
+}
+
 /// Runs a command on a pooled connection; `None` if that fails.
 pub async fn run_pooled(
     node: &Node,
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -8,6 +8,7 @@
 
 use clock::Span;
 use clock::Time;
+use endpoint::Position;
 use serde::Deserialize;
 use serde::Serialize;
 use store::Condition;
@@ -61,6 +62,14 @@
     /// identifies the leader's log; a server that restarts there may have another id.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leader: Option<SocketAddr>,
+    /// The token of the latest replacement that requested a promotion, or may have; `None` if the
+    /// writer's version does not record it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reign: Option<u64>,
+    /// A position that the log of the server promoted by that replacement had reached before;
+    /// `None` if it is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<Position>,
     /// The server whose promotion this or an earlier unfinished replacement requested.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub requested: Option<Arc<str>>,
@@ -76,6 +85,8 @@
             token: self.token,
             leader: self.leader,
             is_settled: self.phase != Phase::Working,
+            reign: self.reign.unwrap_or(self.token),
+            end: self.end,
         }
     }
 
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -19,6 +19,7 @@
 
 pub use check::check;
 pub use command::demote;
+pub use command::status;
 pub use departed::watch_departed;
 pub use departures::Departed;
 pub use departures::Departures;
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use endpoint::Position;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -11,6 +12,7 @@
 use crate::external::Outcome;
 use crate::failover::Phase;
 use crate::failover::claim::Claim;
+use crate::group::Appointment;
 use crate::group::Group;
 use crate::node::Fencing;
 use crate::node::Node;
@@ -24,6 +26,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Attempts of a step before the lease is given up; a new failover gets a new token.
 const ATTEMPTS_MAX: u32 = 60;
+/// A promotion usually takes effect within this time.
+const EFFECT_TIME: Duration = Duration::from_millis(700);
+/// Maximum wait for the other instances' views.
+const VIEW_TIMEOUT: Duration = Duration::from_millis(40);
 /// How long a promoted server may take to prove its leadership.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -41,7 +47,16 @@
 
     /// Requests a promotion until it is confirmed; `None` if it is rejected or never confirmed, or
     /// if another instance may have taken the lease over.
-    pub async fn request(&self, claim: &mut Claim, server: &Arc<str>) -> Option<()> {
+    ///
+    /// `end` is a position that the server's log has reached.
+    pub async fn request(
+        &self,
+        claim: &mut Claim,
+        server: &Arc<str>,
+        end: Option<Position>,
+    ) -> Option<()> {
+        claim.lease.reign = Some(claim.lease.token);
+        claim.lease.end = end;
         if self.is_unchecked() {
             // A successor must know the server before the request can take effect.
             claim.lease.requested = Some(Arc::clone(server));
@@ -81,9 +96,11 @@
         None
     }
 
-    /// Waits until the promoted server proves its leadership, or `PROOF_TIMEOUT` passes.
+    /// Waits until the promoted server proves its leadership, to this or another instance, or
+    /// `PROOF_TIMEOUT` passes.
     pub async fn wait_for_proof(&self, chosen: &Arc<str>) {
         let deadline = Instant::now() + PROOF_TIMEOUT;
+        let effect_due = Instant::now() + EFFECT_TIME;
         while Instant::now() < deadline {
             if let Some(server) = self.group.server(chosen) {
                 task::leader::probe(self.node, self.group, &server).await;
@@ -95,20 +112,26 @@
             {
                 return;
             }
+            if Instant::now() >= effect_due && self.has_proven_elsewhere(chosen).await {
+                return;
+            }
             sleep(RETRY_PAUSE / 2).await;
         }
     }
 
-    /// Records the new leader in the lease; where leaders are leased, this lets the instances rely
-    /// on it.
-    pub async fn record(&self, claim: &mut Claim, leader: &Arc<str>) {
-        if let Some(server) = self.group.server(leader) {
-            claim.lease.leader = Some(lock(&server.entry).address);
-        }
-        claim.lease.requested = None;
-        if !self.is_unchecked() {
-            return;
-        }
+    /// Returns whether the promoted server has proven its leadership to another instance, as this one
+    /// may not reach it.
+    async fn has_proven_elsewhere(&self, chosen: &Arc<str>) -> bool {
+        self.announce(chosen).await;
+        let peers = &self.node.peers;
+        let views = peers
+            .query_views(self.node, &self.group.name, VIEW_TIMEOUT)
+            .await;
+        views.iter().any(|(_, view)| view.confirms(Some(chosen)))
+    }
+
+    /// Records the new leader in the lease, which lets the instances rely on it.
+    pub async fn record(&self, claim: &mut Claim) {
         for _ in 0..ATTEMPTS_MAX {
             let is_written = claim.renew(self.node, self.group, Phase::Appointed).await;
             if is_written || !claim.is_current(self.node.now()) {
@@ -118,6 +141,29 @@
         }
     }
 
+    /// Lets the instances rely on the leader again, also while the lease can't be written.
+    pub async fn settle(&self, claim: &mut Claim, leader: &Arc<str>) {
+        if let Some(server) = self.group.server(leader) {
+            claim.lease.leader = Some(lock(&server.entry).address);
+        }
+        claim.lease.requested = None;
+        let appointment = Appointment {
+            is_settled: true,
+            ..claim.lease.appointment()
+        };
+        self.group.on_appointment_announced(appointment);
+        for address in self.node.peer_addresses().into_values() {
+            let payload = Payload::ReplacementSettled {
+                group: Arc::clone(&self.group.name),
+                token: appointment.token,
+                leader: appointment.leader,
+                reign: appointment.reign,
+                end: appointment.end,
+            };
+            self.node.peers.send(self.node, address, payload).await;
+        }
+    }
+
     /// Tells the other instances about the new leader, so that they need not search for it.
     pub async fn announce(&self, leader: &Arc<str>) {
         for address in self.node.peer_addresses().into_values() {
--- a/crates/relay/src/failover/recheck.rs
+++ b/crates/relay/src/failover/recheck.rs
@@ -20,11 +20,6 @@
         self.due = Some(now + RECHECK_DELAY);
     }
 
-    /// Returns whether a replacement began recently and may still be in progress.
-    pub fn is_scheduled(&self) -> bool {
-        self.due.is_some()
-    }
-
     /// Returns whether to check now; true once per scheduled check.
     pub fn step(&mut self, now: Time) -> bool {
         let is_due = self.due.is_some_and(|due| due <= now);
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -71,8 +71,7 @@
     term: u64,
     /// Whether the group's primary was ever replaced.
     was_replaced: bool,
-    /// The end of the other instances' reliance on the old primary; `None` where a replaced primary
-    /// refuses statements by itself.
+    /// The end of the instances' reliance on the old primary; `None` until the lease is held.
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
     mediation: Mediation,
@@ -128,6 +127,15 @@
             self.put_off(&opinion);
             return;
         }
+        if !self.reason.is_planned() && !self.reaches_successor().await {
+            // Its claim would only stop the commits of instances that reach the primary.
+            log::info!(
+                "event=failover-put-off group={} reason={} why=\"no server that could succeed the primary answers\"",
+                self.group.name,
+                self.reason
+            );
+            return;
+        }
         let acknowledged = lock(&self.group.leadership).acknowledged();
         let acknowledged = acknowledged.max(opinion.acknowledged);
         if !self.knows_membership() {
@@ -151,10 +159,8 @@
             self.release(&mut claim, leader.is_some()).await;
             return;
         }
-        if self.is_unchecked() {
-            let token = claim.lease.token;
-            self.retirement = Some(Retirement::open(self.node, self.group, token).await);
-        }
+        let token = claim.lease.token;
+        self.retirement = Some(Retirement::open(self.node, self.group, token).await);
         let promoted = self.replace(&mut claim, acknowledged).await;
         log::info!(
             "event=failover-ended group={} promoted={} token={} ms={}",
@@ -165,9 +171,9 @@
         );
         if let Some(leader) = &promoted {
             let promotion = self.promotion();
-            promotion.record(&mut claim, leader).await;
+            promotion.settle(&mut claim, leader).await;
             promotion.announce(leader).await;
-            self.resume(leader).await;
+            join(promotion.record(&mut claim), self.resume(leader)).await;
         }
         self.release(&mut claim, promoted.is_some()).await;
         self.group
@@ -235,12 +241,18 @@
             .change_leader_lease(|lease| lease.set_candidate(address));
     }
 
-    /// Returns whether no instance relies on the old leader any more.
-    fn is_unused(&self, survey: &Survey) -> bool {
-        // A demoted primary refuses statements.
-        let is_demoted = survey.demoted.is_some();
+    /// Asks the instances that may still rely on the old leader to stop.
+    async fn retire(&mut self, survey: &mut Survey) {
+        if let Some(retirement) = &mut self.retirement {
+            retirement.request(self.node, self.group).await;
+            survey.acknowledged = survey.acknowledged.max(retirement.acknowledged());
+        }
+    }
+
+    /// Returns whether no instance acknowledges commits or reads of the old leader any more.
+    fn is_retired(&self) -> bool {
         let retirement = self.retirement.as_ref();
-        is_demoted || retirement.is_none_or(|retirement| retirement.has_ended(self.node))
+        retirement.is_none_or(|retirement| retirement.has_ended(self.node))
     }
 
     /// Finishes a replacement whose holder died, in a group that has a leader: replicas may be left
@@ -262,6 +274,7 @@
             claim.lease.token
         );
         if let Some(leader) = &leader {
+            self.promotion().settle(&mut claim, leader).await;
             self.resume(leader).await;
         }
         self.release(&mut claim, leader.is_some()).await;
@@ -270,12 +283,12 @@
     /// Writes the outcome to the lease. An unsettled failover may have left a pending promotion and
     /// paused replicas, so it stays `Working` for the next holder to see.
     async fn release(&self, claim: &mut Claim, is_settled: bool) {
-        let is_unchanged = self.is_unchecked() && claim.lease.requested.is_none();
+        // Without a request for a promotion the leader can't have changed.
+        let is_unchanged = claim.lease.reign != Some(claim.lease.token);
         let phase = if is_settled {
             Phase::Done
         } else {
             lock(&self.group.recheck).on_replacement(self.node.now());
-            // Without a request for a promotion the leader can't have changed.
             match is_unchanged {
                 true => Phase::Appointed,
                 false => Phase::Working,
@@ -321,10 +334,16 @@
             } else if attempt > TAIL_ATTEMPTS_MAX {
                 self.is_handover = self.reason.is_planned();
             }
-            if let Some(retirement) = &mut self.retirement {
-                retirement.request(self.node, self.group).await;
+            if !self.reason.is_planned() {
+                self.retire(&mut survey).await;
             }
+            // A commit that is acknowledged later may be missing in the survey.
+            let is_retired = self.is_retired();
             self.collect(&mut survey).await;
+            if self.reason.is_planned() {
+                // The instances acknowledge what the primary committed before it was demoted.
+                self.retire(&mut survey).await;
+            }
             if self.reason == Reason::Evacuated
                 && attempt >= DEMOTION_ATTEMPTS_MAX
                 && survey.demoted.is_none()
@@ -344,7 +363,7 @@
                 None => survey.choose(),
             };
             match choice {
-                Choice::Promote(_) if !self.is_unused(&survey) => {
+                Choice::Promote(_) if !is_retired && survey.demoted.is_none() => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
                 Choice::Promote(chosen) => {
@@ -352,7 +371,8 @@
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
                         self.group.name
                     );
-                    self.promotion().request(claim, &chosen).await?;
+                    let end = survey.position(&chosen);
+                    self.promotion().request(claim, &chosen, end).await?;
                     self.believe(self.group.server(&chosen).as_ref());
                     self.promotion().wait_for_proof(&chosen).await;
                     return Some(chosen);
@@ -376,15 +396,9 @@
         let Some(old) = self.old.as_ref().filter(|_| !self.reason.is_planned()) else {
             return;
         };
-        let why = match self.mediation.instances().is_empty() {
-            true => Some("no instance names the primary"),
-            // Nobody could succeed the primary.
-            false if !self.reaches_replica(&old.name).await => Some("no replica answers"),
-            false => None,
-        };
-        if let Some(why) = why {
+        if self.mediation.instances().is_empty() {
             log::info!(
-                "event=primary-not-demoted-by-others group={} server={} why=\"{why}\"",
+                "event=primary-not-demoted-by-others group={} server={} why=\"no instance names it\"",
                 self.group.name,
                 old.name
             );
@@ -398,11 +412,12 @@
     }
 
     /// Returns whether a server other than the old primary answers.
-    async fn reaches_replica(&self, old: &str) -> bool {
+    async fn reaches_successor(&self) -> bool {
         let servers = self.group.servers();
+        let old = self.old.as_ref().map(|old| &old.name);
         let mut answers: FuturesUnordered<_> = servers
             .iter()
-            .filter(|server| *server.name != *old)
+            .filter(|server| Some(&server.name) != old)
             .map(|server| command::run_pooled(self.node, server, &Statement::Status))
             .collect();
         while let Some(status) = answers.next().await {
@@ -460,7 +475,7 @@
             false => claim.may_have_pending_promotion(),
         };
         if is_pending {
-            self.promotion().request(claim, &old.name).await?;
+            self.promotion().request(claim, &old.name, None).await?;
             // Keeps the lease until the promotion has taken effect.
             sleep(PROMOTION_SETTLE_TIME).await;
         }
--- a/crates/relay/src/failover/retirement.rs
+++ b/crates/relay/src/failover/retirement.rs
@@ -7,12 +7,14 @@
 
 use account::rate;
 use account::rate::ROW_PREFIX;
+use endpoint::Position;
 use tokio::time::timeout;
 
 use crate::failover::Revocation;
 use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
 use crate::node::Node;
+use crate::node::lock;
 
 /// Maximum wait for other instances to give up their leader leases in one attempt.
 const REVOCATION_TIMEOUT: Duration = Duration::from_millis(40);
@@ -24,6 +26,8 @@
     instances: BTreeMap<Arc<str>, SocketAddr>,
     /// The fencing token of the replacement.
     token: u64,
+    /// The highest position of a commit acknowledged through an instance that gave its lease up.
+    acknowledged: Position,
 }
 
 impl Retirement {
@@ -55,6 +59,7 @@
             revocation: Revocation::open(recorded, names),
             instances: others.unwrap_or_default(),
             token,
+            acknowledged: lock(&group.leadership).acknowledged(),
         }
     }
 
@@ -67,13 +72,19 @@
         awaited.retain(|name, _| self.revocation.awaited().contains(name));
         let given_up = node
             .peers
-            .revoke_leader_lease(node, &group.name, self.token, &awaited, REVOCATION_TIMEOUT)
+            .end_reliance(node, &group.name, self.token, &awaited, REVOCATION_TIMEOUT)
             .await;
-        for name in given_up {
-            self.revocation.on_given_up(&name);
+        for release in given_up {
+            self.revocation.on_given_up(&release.instance);
+            self.acknowledged = self.acknowledged.max(release.acknowledged);
         }
     }
 
+    /// Returns the highest position of a commit known to have been acknowledged.
+    pub fn acknowledged(&self) -> Position {
+        self.acknowledged
+    }
+
     /// Returns whether no instance relies on the primary any more.
     pub fn has_ended(&self, node: &Node) -> bool {
         self.revocation.has_ended(node.now())
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -79,6 +79,14 @@
         )
     }
 
+    /// Returns the position that a server's log has reached, if it answered.
+    pub fn position(&self, server: &str) -> Option<Position> {
+        let demoted = self.demoted.as_ref().filter(|(name, _)| **name == *server);
+        let position = demoted.map(|(_, position)| position);
+        let position = position.or_else(|| self.paused.get(server));
+        position.or_else(|| self.receiving.get(server)).copied()
+    }
+
     fn successor_of_demoted(&self) -> Option<Arc<str>> {
         let (old, end) = self.demoted.as_ref()?;
         let mut logs = self.receiving.clone();
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -31,6 +31,7 @@
 use crate::failover::Departures;
 use crate::failover::Detector;
 use crate::failover::Recheck;
+use crate::group::Acknowledgement;
 use crate::group::Appointment;
 use crate::group::Health;
 use crate::group::LeaderLease;
@@ -77,9 +78,10 @@
     pub settings: Mutex<settings::Group>,
     /// What is known of its leader.
     pub leadership: Mutex<Leadership>,
-    /// The lease under which this instance relies on the leader; `None` where a replaced primary
-    /// refuses statements by itself.
-    leader_lease: Option<Mutex<LeaderLease>>,
+    /// The lease under which this instance relies on the leader.
+    leader_lease: Mutex<LeaderLease>,
+    /// Whether a replaced primary refuses statements by itself.
+    fencing: Fencing,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
     /// Servers whose entries were removed, by id; they may still hold commits.
@@ -126,7 +128,8 @@
             name: Arc::clone(name),
             settings: Mutex::new(settings),
             leadership: Mutex::default(),
-            leader_lease: (fencing == Fencing::Unchecked).then(Mutex::default),
+            leader_lease: Mutex::default(),
+            fencing,
             servers: Mutex::default(),
             removed: Mutex::default(),
             balance: Mutex::default(),
@@ -528,7 +531,7 @@
         if !self.admits(server) {
             return false;
         }
-        let is_only_leader = self.holds_leader_lease();
+        let is_only_leader = self.has_proof_of_leadership();
         let is_new = {
             let mut leadership = lock(&self.leadership);
             if is_only_leader {
@@ -580,62 +583,96 @@
 
     /// Returns whether a server that acts as primary can be the current one.
     pub fn admits(&self, server: &str) -> bool {
-        let Some(lease) = &self.leader_lease else {
+        if self.fencing == Fencing::Enforced {
             return true;
-        };
+        }
         let address = self
             .server(server)
             .map(|server| lock(&server.entry).address);
-        address.is_some_and(|address| lock(lease).admits(address))
+        address.is_some_and(|address| lock(&self.leader_lease).admits(address))
     }
 
-    /// Returns whether this instance may rely on the leader's replies.
-    pub fn holds_leader_lease(&self) -> bool {
-        let Some(lease) = &self.leader_lease else {
-            return true;
-        };
-        lock(lease).is_held(self.clock.now())
+    /// Returns whether replies that only a primary gives prove that it leads.
+    pub fn has_proof_of_leadership(&self) -> bool {
+        self.fencing == Fencing::Enforced || lock(&self.leader_lease).is_held(self.clock.now())
     }
 
     /// Returns whether this instance can't find out at present who leads.
-    pub fn is_leader_lease_expired(&self) -> bool {
-        let Some(lease) = &self.leader_lease else {
-            return false;
-        };
-        lock(lease).is_expired(self.clock.now())
+    pub fn is_leader_unknowable(&self) -> bool {
+        self.fencing == Fencing::Unchecked && lock(&self.leader_lease).is_expired(self.clock.now())
+    }
+
+    /// Returns the token of the latest replacement of the leader; `None` while one may be under way.
+    pub fn replacement_token(&self) -> Option<u64> {
+        lock(&self.leader_lease).token()
+    }
+
+    /// Returns whether a replacement of the leader is known to be under way, so that commits must
+    /// wait for its end.
+    pub fn is_replacement_open(&self) -> bool {
+        self.has_replicated_commits() && lock(&self.leader_lease).is_replacement_open()
+    }
+
+    /// Returns whether a commit at `position` of the server at `address` may be acknowledged; `sent`
+    /// was the `replacement_token` when it was sent.
+    pub fn acknowledgement(
+        &self,
+        sent: Option<u64>,
+        address: Option<SocketAddr>,
+        position: Position,
+    ) -> Acknowledgement {
+        if !self.has_replicated_commits() {
+            return Acknowledgement::Safe;
+        }
+        let now = self.clock.now();
+        lock(&self.leader_lease).acknowledgement(now, sent, address, position)
     }
 
-    /// Returns whether the appointment was read from the table, or isn't needed.
+    /// Returns whether servers acknowledge a commit only once replicas have received it; otherwise
+    /// a replacement may lose it in any case.
+    fn has_replicated_commits(&self) -> bool {
+        lock(&self.settings).sync_replicas > 0
+    }
+
+    /// Returns whether the appointment was read from the table.
     pub fn has_read_appointment(&self) -> bool {
-        let lease = self.leader_lease.as_ref();
-        lease.is_none_or(|lease| lock(lease).has_read())
+        lock(&self.leader_lease).has_read()
     }
 
-    /// Changes the leader lease, if there is one.
+    /// Changes the leader lease.
     pub fn change_leader_lease(&self, change: impl FnOnce(&mut LeaderLease)) {
-        if let Some(lease) = &self.leader_lease {
-            change(&mut lock(lease));
-        }
+        change(&mut lock(&self.leader_lease));
     }
 
     /// Applies the appointment that a table call begun at `begun` returned.
     pub fn on_appointment(&self, begun: Time, appointment: Option<Appointment>) {
-        let Some(lease) = &self.leader_lease else {
-            return;
-        };
-        if !lock(lease).on_read(begun, appointment) {
+        if !lock(&self.leader_lease).on_read(begun, appointment) {
             return;
         }
         log::info!(
             "event=leader-appointed group={} appointment=\"{appointment:?}\"",
             self.name
         );
+        if appointment.is_some_and(|appointment| !appointment.is_settled) {
+            lock(&self.recheck).on_replacement(self.clock.now());
+        }
         if let Some(leader) = self.leader().filter(|leader| !self.admits(&leader.name)) {
             self.on_not_leader(&leader.name);
         }
         self.changed.notify_waiters();
     }
 
+    /// Applies a settled appointment that the holder of the replacement has announced.
+    pub fn on_appointment_announced(&self, appointment: Appointment) {
+        self.change_leader_lease(|lease| lease.on_announced(appointment));
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the settled appointment that the holder of the replacement with `token` has announced.
+    pub fn announced_appointment(&self, token: u64) -> Option<Appointment> {
+        lock(&self.leader_lease).announced(token)
+    }
+
     /// Stops relying on the leader for the replacement with `token`.
     pub fn revoke_leader_lease(&self, token: u64) {
         self.change_leader_lease(|lease| lease.revoke(token));
@@ -654,13 +691,6 @@
 
     /// Applies a commit, sent at `sent`, that the leader acknowledged.
     pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
-        if lock(&self.recheck).is_scheduled() {
-            log::info!(
-                "event=commit-acknowledged-in-replacement group={} server={server} position={position} ms={}",
-                self.name,
-                self.clock.now().since(sent).as_millis()
-            );
-        }
         self.on_proof(sent, server, position);
         lock(&self.leadership).on_acknowledged(sent, position);
         // The servers that acknowledged it hold every earlier commit too.
--- a/crates/relay/src/group/leader_lease.rs
+++ b/crates/relay/src/group/leader_lease.rs
@@ -5,6 +5,9 @@
 use account::rate::Registration;
 use clock::Span;
 use clock::Time;
+use endpoint::Position;
+
+use crate::group::Acknowledgement;
 
 /// How long an instance relies on the leader after the start of the table call that last showed
 /// no replacement of it. Longer leases outlast longer outages of the table; shorter ones let a primary
@@ -20,13 +23,19 @@
     pub leader: Option<SocketAddr>,
     /// Whether the replacement has ended, so that the leader stays until the next one.
     pub is_settled: bool,
+    /// The token of the latest replacement that may have changed the leader.
+    pub reign: u64,
+    /// A position that the log of the server promoted by that replacement had reached before;
+    /// `None` if it is not known.
+    pub end: Option<Position>,
 }
 
 /// The lease under which an instance relies on a group's leader.
 ///
-/// It is needed where a replaced primary goes on as such: its answers prove nothing then. An
-/// instance counts them only while it holds the lease. A replacement first changes the group's row
-/// in the table and then waits until every other instance has given its lease up or it has expired.
+/// A replacement first changes the group's row in the table and then waits until every other
+/// instance has given its lease up or it has expired; only then it surveys the replicas' logs. So
+/// a commit that is acknowledged under the lease is in the survey of every replacement. Where a
+/// replaced primary goes on as such, its answers prove its leadership only under the lease, too.
 #[derive(Clone, Debug, Default)]
 pub struct LeaderLease {
     /// The start of the table call that last showed `appointment`.
@@ -35,6 +44,9 @@
     registration: Registration,
     /// The latest appointment in the table; `None` if the leader was never replaced.
     appointment: Option<Appointment>,
+    /// The latest appointment that its holder has announced as settled; the table may show the
+    /// replacement as under way for longer.
+    announced: Option<Appointment>,
     /// The token of the latest replacement for which this instance gave the lease up.
     ///
     /// Invariant: the lease is not held before an appointment with this token is settled.
@@ -57,6 +69,28 @@
         is_changed
     }
 
+    /// Applies a settled appointment that the holder of the replacement has announced.
+    pub fn on_announced(&mut self, appointment: Appointment) {
+        let known = self.announced.map_or(0, |known| known.token);
+        if appointment.is_settled && appointment.token >= known {
+            self.announced = Some(appointment);
+        }
+    }
+
+    /// Returns the settled appointment that the holder of the replacement with `token` has announced.
+    pub fn announced(&self, token: u64) -> Option<Appointment> {
+        self.announced.filter(|announced| announced.token == token)
+    }
+
+    /// Returns the latest appointment in the table, settled if its holder has announced that.
+    fn appointment(&self) -> Option<Appointment> {
+        let appointment = self.appointment?;
+        match appointment.is_settled {
+            true => Some(appointment),
+            false => self.announced(appointment.token).or(Some(appointment)),
+        }
+    }
+
     /// Returns whether the table was ever read.
     pub fn has_read(&self) -> bool {
         self.confirmed.is_some()
@@ -84,11 +118,56 @@
         self.candidate = candidate;
     }
 
+    /// Returns the token of the latest replacement, 0 if there was none; `None` while one may be under
+    /// way as far as this instance knows.
+    pub fn token(&self) -> Option<u64> {
+        let token = self
+            .appointment()
+            .map_or(0, |appointment| appointment.token);
+        (!self.is_replacement_open()).then_some(token)
+    }
+
+    /// Returns whether a replacement may be under way as far as this instance knows.
+    pub fn is_replacement_open(&self) -> bool {
+        !self.has_read() || !self.is_settled()
+    }
+
+    /// Returns whether a commit at `position` of the server at `address` may be acknowledged at `now`;
+    /// `sent` was the `token` when it was sent.
+    pub fn acknowledgement(
+        &self,
+        now: Time,
+        sent: Option<u64>,
+        address: Option<SocketAddr>,
+        position: Position,
+    ) -> Acknowledgement {
+        if self.is_replacement_open() {
+            return Acknowledgement::Undecided;
+        }
+        if !self.is_held(now) {
+            return Acknowledgement::Unproven;
+        }
+        let Some(appointment) = self.appointment() else {
+            return Acknowledgement::Safe;
+        };
+        let is_leader = appointment.leader.is_none() || appointment.leader == address;
+        let is_in_reign = is_leader && sent.is_some_and(|sent| sent >= appointment.reign);
+        let is_in_log = appointment
+            .end
+            .is_some_and(|end| end.term == position.term && position <= end);
+        match is_in_reign || is_in_log {
+            true => Acknowledgement::Safe,
+            false => Acknowledgement::Doubtful,
+        }
+    }
+
     /// Returns whether the appointed leader stays until the next replacement.
     fn is_settled(&self) -> bool {
-        let token = self.appointment.map_or(0, |appointment| appointment.token);
+        let token = self
+            .appointment()
+            .map_or(0, |appointment| appointment.token);
         let is_settled = self
-            .appointment
+            .appointment()
             .is_none_or(|appointment| appointment.is_settled);
         is_settled && token >= self.revoked
     }
@@ -98,7 +177,9 @@
         if let Some(candidate) = self.candidate {
             return candidate == address;
         }
-        let leader = self.appointment.and_then(|appointment| appointment.leader);
+        let leader = self
+            .appointment()
+            .and_then(|appointment| appointment.leader);
         self.is_settled() && leader.is_none_or(|leader| leader == address)
     }
 
--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -1,11 +1,13 @@
 //! Database groups: their servers, their leader and their log.
 
+mod acknowledgement;
 mod group;
 mod health;
 mod leader_lease;
 mod leadership;
 mod server;
 
+pub use acknowledgement::Acknowledgement;
 pub use group::Group;
 pub use health::Health;
 pub use leader_lease::Appointment;
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -88,6 +88,8 @@
     pub zones_evacuated: Gauge,
     /// Statements sent to servers of evacuated zones.
     pub evacuated_statements: Counter,
+    /// Commits that a server acknowledged and a replacement of it may have lost.
+    pub commits_in_doubt: Counter,
     /// Calls to the platform's store.
     pub store_calls: Calls,
     /// Statements forwarded to another instance.
@@ -118,6 +120,7 @@
             statements: Counter::default(),
             zones_evacuated: Gauge::default(),
             evacuated_statements: Counter::default(),
+            commits_in_doubt: Counter::default(),
             store_calls: Calls::default(),
             forwarded: Counter::default(),
             run_after_forward: Counter::default(),
@@ -178,6 +181,11 @@
             "Statements sent to servers of evacuated zones",
             metrics.evacuated_statements.clone(),
         );
+        registry.register(
+            "commits_in_doubt",
+            "Commits that a server acknowledged and a replacement of it may have lost",
+            metrics.commits_in_doubt.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform's store by kind of call and of rows",
--- a/crates/relay/src/peers/datagram.rs
+++ b/crates/relay/src/peers/datagram.rs
@@ -1,5 +1,6 @@
 //! The datagrams that instances exchange.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use account::rate;
@@ -16,7 +17,7 @@
 const RECENT_COMMIT_AGE_MS: u64 = 700;
 
 /// The version of the datagrams that this build sends; it grows whenever a message is added.
-const VERSION: u32 = 2;
+const VERSION: u32 = 3;
 
 /// A datagram between two instances.
 ///
@@ -182,6 +183,36 @@
         /// The last position of its log.
         received: Position,
     },
+    /// Requests that the receiver acknowledges no commit of a group before the replacement of its
+    /// leader is settled.
+    EndReliance {
+        /// Returned with the response.
+        id: u64,
+        /// The group.
+        group: Arc<str>,
+        /// The fencing token of the replacement.
+        token: u64,
+    },
+    /// Confirms an `EndReliance`.
+    RelianceEnded {
+        /// The number of the request.
+        id: u64,
+        /// The highest position of a commit acknowledged through the sender.
+        acknowledged: Position,
+    },
+    /// Announces that the sender's replacement of a group's leader is settled.
+    ReplacementSettled {
+        /// The group.
+        group: Arc<str>,
+        /// The fencing token of the replacement.
+        token: u64,
+        /// The address of the server that leads.
+        leader: Option<SocketAddr>,
+        /// The token of the latest replacement that may have changed the leader.
+        reign: u64,
+        /// A position that the log of the server promoted by that replacement had reached before.
+        end: Option<Position>,
+    },
 }
 
 /// An instance's view of a group.
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -18,12 +18,14 @@
 
 use crate::Error;
 use crate::failover;
+use crate::group::Appointment;
 use crate::group::Group;
 use crate::metrics::Rejection;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Datagram;
 use crate::peers::Payload;
+use crate::peers::Release;
 use crate::peers::Report;
 use crate::peers::Update;
 use crate::peers::View;
@@ -56,7 +58,7 @@
     /// Outstanding queries for views, by number.
     queries: Mutex<BTreeMap<u64, mpsc::Sender<(SocketAddr, View)>>>,
     /// Outstanding requests to give up a leader lease, by number; the names of those that did.
-    revocations: Mutex<BTreeMap<u64, mpsc::Sender<Arc<str>>>>,
+    revocations: Mutex<BTreeMap<u64, mpsc::Sender<Release>>>,
     /// Outstanding requests to demote a primary, by number; its last position.
     demotions: Mutex<BTreeMap<u64, mpsc::Sender<Position>>>,
 }
@@ -141,21 +143,21 @@
         views
     }
 
-    /// Asks instances to stop relying on a group's leader, and returns those that confirmed it
-    /// within `wait`.
-    pub async fn revoke_leader_lease(
+    /// Asks instances to stop relying on a group's leader; returns those that confirmed it within
+    /// `wait`, with the highest position of a commit acknowledged through each.
+    pub async fn end_reliance(
         &self,
         node: &Node,
         group: &Arc<str>,
         token: u64,
         instances: &BTreeMap<Arc<str>, SocketAddr>,
         wait: Duration,
-    ) -> Vec<Arc<str>> {
+    ) -> Vec<Release> {
         let id = self.next_query.fetch_add(1, Ordering::Relaxed);
         let (sender, mut receiver) = mpsc::channel(instances.len().max(1));
         lock(&self.revocations).insert(id, sender);
         for address in instances.values() {
-            let payload = Payload::RevokeLeaderLease {
+            let payload = Payload::EndReliance {
                 id,
                 group: Arc::clone(group),
                 token,
@@ -165,9 +167,9 @@
         let deadline = Instant::now() + wait;
         let mut given_up = Vec::new();
         while given_up.len() < instances.len()
-            && let Ok(Some(name)) = tokio::time::timeout_at(deadline, receiver.recv()).await
+            && let Ok(Some(ended)) = tokio::time::timeout_at(deadline, receiver.recv()).await
         {
-            given_up.push(name);
+            given_up.push(ended);
         }
         lock(&self.revocations).remove(&id);
         given_up
@@ -289,11 +291,46 @@
             let payload = Payload::LeaderLeaseRevoked { id };
             node.peers.send(node, address, payload).await;
         }
-        Payload::LeaderLeaseRevoked { id } => {
+        // The answer of an earlier build, which acknowledges commits all the same.
+        Payload::LeaderLeaseRevoked { .. } => {
+            log::debug!("event=revocation-ignored from={address}");
+        }
+        Payload::EndReliance { id, group, token } => {
+            let mut acknowledged = Position::default();
+            if let Some(group) = node.group(&group) {
+                group.revoke_leader_lease(token);
+                acknowledged = lock(&group.leadership).acknowledged();
+            }
+            let payload = Payload::RelianceEnded { id, acknowledged };
+            node.peers.send(node, address, payload).await;
+        }
+        Payload::ReplacementSettled {
+            group,
+            token,
+            leader,
+            reign,
+            end,
+        } => {
+            if let Some(group) = node.group(&group) {
+                group.on_appointment_announced(Appointment {
+                    token,
+                    leader,
+                    is_settled: true,
+                    reign,
+                    end,
+                });
+                node.leader_appointed.notify_one();
+            }
+        }
+        Payload::RelianceEnded { id, acknowledged } => {
             let sender = lock(&node.peers.revocations).get(&id).cloned();
-            let is_taken = sender.is_some_and(|sender| sender.try_send(datagram.from).is_ok());
+            let ended = Release {
+                instance: datagram.from,
+                acknowledged,
+            };
+            let is_taken = sender.is_some_and(|sender| sender.try_send(ended).is_ok());
             if !is_taken {
-                log::debug!("event=revocation-late from={address}");
+                log::debug!("event=reliance-end-late from={address}");
             }
         }
         Payload::GetReports { id, load } => {
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -89,7 +89,8 @@
 /// Returns the leader as the destination if this instance may rely on its replies.
 pub fn leader_destination(job: &Job<'_>) -> Destination {
     let leader = job.group.leader();
-    let leader = leader.filter(|leader| job.group.holds_leader_lease() && !leader.is_evacuated());
+    let leader =
+        leader.filter(|leader| job.group.has_proof_of_leadership() && !leader.is_evacuated());
     let leader = leader.filter(|leader| job.group.may_send(leader));
     leader.map_or(Destination::Unavailable, Destination::Leader)
 }
@@ -264,7 +265,7 @@
 /// Returns a failure if the statement needs the leader and this instance can't find out whether it
 /// was replaced.
 pub fn unleased_failure(job: &Job<'_>, needs_leader: bool) -> Option<Failure> {
-    if !job.group.is_leader_lease_expired() {
+    if !job.group.is_leader_unknowable() {
         return None;
     }
     if !needs_leader && floor(job, job.arrived).is_some() {
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -18,6 +18,7 @@
 use crate::message::Statement;
 use crate::node::lock;
 use crate::pool::Connection;
+use crate::session::Commit;
 use crate::session::Job;
 use crate::session::Refusal;
 use crate::session::read;
@@ -27,6 +28,8 @@
 
 /// Delay before a failed attempt to begin is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Maximum wait between two checks whether the primary's replacement has ended.
+const REPLACEMENT_CHECK_PERIOD: Duration = Duration::from_millis(25);
 /// Time limit for a rollback in the background.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -120,11 +123,16 @@
             self.fail();
             return Reply::failed(aborted(read::EVACUATED), State::Idle);
         }
-        let sent = job.node.now();
+        if self.has_written && !self.wait_for_replacement(job).await {
+            self.connection = Some(connection);
+            self.fail();
+            return Reply::failed(aborted(write::REPLACED), State::Idle);
+        }
+        let server = Arc::clone(connection.server());
+        let commit = Commit::open(job, &self.group, &server);
         connection.set_busy();
         let request = job.request(&connection, None);
         let exchanged = connection.commit(request, job.deadline).await;
-        let server = Arc::clone(connection.server());
         let mut reply = match exchanged {
             Ok(reply) => reply,
             Err(error) if !self.has_written => {
@@ -141,7 +149,9 @@
         match (reply.code(), reply.position) {
             // A commit without writes succeeds even at a former primary, so it proves nothing.
             (None, Some(position)) if self.has_written => {
-                self.group.on_commit(sent, &server, position);
+                if let Err(failure) = commit.acknowledge(position).await {
+                    reply.outcome = Err(failure);
+                }
             }
             (None, None) if self.has_written => reply.outcome = Err(write::unplaced()),
             (Some(Code::ReadOnly), _) => self.group.on_not_leader(&server),
@@ -151,6 +161,18 @@
         reply
     }
 
+    /// Waits until no replacement of the primary is known to be under way; returns false if that is
+    /// not before the deadline.
+    async fn wait_for_replacement(&self, job: &Job<'_>) -> bool {
+        while self.group.is_replacement_open() {
+            if job.is_expired() {
+                return false;
+            }
+            job.wait_for_change(REPLACEMENT_CHECK_PERIOD).await;
+        }
+        true
+    }
+
     /// Returns when the transaction is rolled back because its server's zone is evacuated; `None` if
     /// it isn't, or if the transaction has no connection.
     pub fn deadline(&self) -> Option<Time> {
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -9,6 +9,7 @@
 use crate::message::Failure;
 use crate::message::Reply;
 use crate::message::State;
+use crate::session::Commit;
 use crate::session::Job;
 use crate::session::read::COLD;
 use crate::session::read::EVACUATED;
@@ -20,6 +21,9 @@
 /// Delay before a write that did not run is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// Why a write is not sent while the primary is being replaced.
+pub const REPLACED: &str = "the primary is being replaced";
+
 /// Runs a write; it is retried only if the server reports that it did not run.
 pub async fn run(job: &Job<'_>) -> Reply {
     loop {
@@ -34,7 +38,7 @@
             job.wait_for_change(RETRY_DELAY).await;
             continue;
         };
-        if !job.group.may_send(&server) {
+        if job.group.is_replacement_open() || !job.group.may_send(&server) {
             job.wait_for_change(RETRY_DELAY).await;
             continue;
         }
@@ -80,7 +84,11 @@
         connection.release();
         return Attempt::NotRun(COLD.to_owned());
     }
-    let sent = job.node.now();
+    if job.group.is_replacement_open() {
+        connection.release();
+        return Attempt::NotRun(REPLACED.to_owned());
+    }
+    let commit = Commit::open(job, job.group, &server.name);
     let request = job.request(&connection, None);
     let reply = match connection.commit(request, job.deadline).await {
         Ok(reply) => reply,
@@ -96,8 +104,10 @@
             let Some(position) = reply.position else {
                 return Attempt::Answer(Reply::failed(unplaced(), State::Idle));
             };
-            job.group.on_commit(sent, &server.name, position);
-            Attempt::Answer(reply)
+            match commit.acknowledge(position).await {
+                Ok(()) => Attempt::Answer(reply),
+                Err(failure) => Attempt::Answer(Reply::failed(failure, State::Idle)),
+            }
         }
         Some(code) if code.is_not_run() => {
             if code == Code::ReadOnly {
--- a/crates/relay/src/task/appointments.rs
+++ b/crates/relay/src/task/appointments.rs
@@ -13,7 +13,6 @@
 
 use crate::failover::Lease;
 use crate::group::Group;
-use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::Topic;
@@ -30,11 +29,8 @@
 /// Minimum time between two queries.
 const QUERY_PERIOD_MIN: Duration = Duration::from_millis(400);
 
-/// Follows the appointments until the process ends; returns at once where leaders need no lease.
+/// Follows the appointments until the process ends.
 pub async fn run(node: Arc<Node>) {
-    if node.options.fencing == Fencing::Enforced {
-        return;
-    }
     let mut known = None;
     loop {
         let poller = confirmation::choose_poller(&node, Topic::Leaders);
@@ -42,7 +38,7 @@
         known = known.filter(|_| !has_unread_group(&node));
         known = match (known, poller) {
             (Some(version), Some(poller)) => query_peer(&node, poller, version).await,
-            _ => read_store(&node, known.is_some()).await,
+            _ => read_store(&node, known).await,
         };
     }
 }
@@ -53,10 +49,11 @@
     groups.iter().any(|group| !group.has_read_appointment())
 }
 
-/// Reads the rows, after a pause unless they are unknown; returns their version, `None` if the
-/// call failed.
-async fn read_store(node: &Arc<Node>, is_known: bool) -> Option<u64> {
-    if is_known {
+/// Reads the rows, after a pause unless they are unknown; returns their version.
+///
+/// If the call fails, another instance may still confirm the `known` version; `None` if it doesn't.
+async fn read_store(node: &Arc<Node>, known: Option<u64>) -> Option<u64> {
+    if known.is_some() {
         // A new leader is used only once its row has been read.
         let _elapsed = timeout(READ_PERIOD, node.leader_appointed.notified()).await;
     }
@@ -66,6 +63,12 @@
         Ok(Ok(rows)) => rows,
         failed => {
             log::debug!("event=appointments-unread why=\"{failed:?}\"");
+            if let (Some(version), Some(poller)) = (
+                known,
+                confirmation::choose_other_poller(node, Topic::Leaders),
+            ) {
+                return query_peer(node, poller, version).await;
+            }
             sleep(RETRY_PAUSE).await;
             return None;
         }
--- a/crates/relay/tests/relay/leader_lease.rs
+++ b/crates/relay/tests/relay/leader_lease.rs
@@ -144,6 +144,8 @@
             token,
             leader,
             is_settled: false,
+            reign: 0,
+            end: None,
         });
         let registered = (0..INSTANCES).filter(|index| {
             let until = self.instances[*index].registered.1;
@@ -183,6 +185,8 @@
             token: replacement.token,
             leader: Some(self.leader),
             is_settled: true,
+            reign: 0,
+            end: None,
         });
     }
 
--- a/crates/relay/tests/relay/lease.rs
+++ b/crates/relay/tests/relay/lease.rs
@@ -27,6 +27,8 @@
         phase,
         commit_holders: BTreeSet::from([Arc::from("a"), Arc::from("b")]),
         leader: None,
+        reign: None,
+        end: None,
         requested: None,
     }
 }
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -283,6 +283,8 @@
         phase: Phase::Working,
         commit_holders: BTreeSet::new(),
         leader: None,
+        reign: None,
+        end: None,
         requested: None,
     };
     let (condition, write) = lease.compare_and_set(GROUP, None);
@@ -323,6 +325,8 @@
         phase: Phase::Working,
         commit_holders: ["a", "b", "c"].map(Arc::from).into(),
         leader: None,
+        reign: None,
+        end: None,
         requested: None,
     };
     let (condition, write) = lease.compare_and_set(GROUP, before.as_ref());
--- a/crates/relay/tests/relay/upgrade.rs
+++ b/crates/relay/tests/relay/upgrade.rs
@@ -266,12 +266,24 @@
                 offset: 1_208,
             },
         },
+        Payload::EndReliance {
+            id: 7,
+            group: text("catalog"),
+            token: 9,
+        },
+        Payload::RelianceEnded {
+            id: 7,
+            acknowledged: Position {
+                term: 2,
+                offset: 1_208,
+            },
+        },
     ];
     for (payload, number) in added.iter().zip(15..) {
         let sent = datagram(payload).encode().expect("encodes");
         assert_eq!(sent[7], number, "{payload:?}");
         let decoded = Datagram::decode(&sent);
-        assert_eq!(decoded, Ok((datagram(payload), 2)));
+        assert_eq!(decoded, Ok((datagram(payload), 3)));
     }
 }
 
