Hold commits' leases for 1.2 s

Commits are now acknowledged for 1.2 s after the start of the call that last showed no replacement; a call begins every 0.7 s, and beyond that the replicas are asked. Where fences are not checked, the holder still waits for the 2.5 s of reads.

--- a/crates/relay/src/failover/retirement.rs
+++ b/crates/relay/src/failover/retirement.rs
@@ -12,7 +12,10 @@
 
 use crate::failover::Revocation;
 use crate::failover::row::TABLE_TIMEOUT;
+use crate::group::COMMIT_LEASE;
 use crate::group::Group;
+use crate::group::LEADER_LEASE;
+use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
 
@@ -55,8 +58,13 @@
         let names = others
             .as_ref()
             .map(|others| others.keys().cloned().collect());
+        let lease = match node.options.fencing {
+            Fencing::Enforced => COMMIT_LEASE,
+            // Reads rely on the leader, too.
+            Fencing::Unchecked => LEADER_LEASE,
+        };
         Self {
-            revocation: Revocation::open(recorded, names),
+            revocation: Revocation::open(recorded, lease, names),
             instances: others.unwrap_or_default(),
             token,
             acknowledged: lock(&group.leadership).acknowledged(),
--- a/crates/relay/src/failover/revocation.rs
+++ b/crates/relay/src/failover/revocation.rs
@@ -6,8 +6,6 @@
 use clock::Span;
 use clock::Time;
 
-use crate::group::LEADER_LEASE;
-
 /// Allowance for clocks that run at slightly different rates.
 const CLOCK_DRIFT_MARGIN: Span = Span::from_millis(50);
 
@@ -26,13 +24,13 @@
     /// Opens the revocation for a replacement that the table has shown since `recorded` at the
     /// latest.
     ///
-    /// `instances` are the other instances registered in the table, read after that; `None` if the
+    /// `lease` is the longest one in use. `instances` are the other instances registered in the table, read after that; `None` if the
     /// read failed.
-    pub fn open(recorded: Time, instances: Option<BTreeSet<Arc<str>>>) -> Self {
+    pub fn open(recorded: Time, lease: Span, instances: Option<BTreeSet<Arc<str>>>) -> Self {
         Self {
             is_complete: instances.is_some(),
             awaited: instances.unwrap_or_default(),
-            expiry: recorded + LEADER_LEASE + CLOCK_DRIFT_MARGIN,
+            expiry: recorded + lease + CLOCK_DRIFT_MARGIN,
         }
     }
 
--- a/crates/relay/src/group/leader_lease.rs
+++ b/crates/relay/src/group/leader_lease.rs
@@ -9,6 +9,10 @@
 
 use crate::group::Acknowledgement;
 
+/// How long an instance acknowledges commits after the start of the table call that last showed no
+/// replacement of the leader. A call begins every 700 ms; beyond that the replicas are asked. Longer
+/// leases delay the replacement of a primary that is cut off together with other instances.
+pub const COMMIT_LEASE: Span = Span::from_millis(1_200);
 /// How long an instance relies on the leader after the start of the table call that last showed
 /// no replacement of it. Longer leases outlast longer outages of the table; shorter ones let a primary
 /// be replaced sooner that is cut off together with other instances.
@@ -144,7 +148,7 @@
         if self.is_replacement_open() {
             return Acknowledgement::Undecided;
         }
-        if !self.is_held(now) {
+        if !self.is_held_within(now, COMMIT_LEASE) {
             return Acknowledgement::Unproven;
         }
         let Some(appointment) = self.appointment() else {
@@ -185,9 +189,14 @@
 
     /// Returns whether the lease is held at `now`.
     pub fn is_held(&self, now: Time) -> bool {
+        self.is_held_within(now, LEADER_LEASE)
+    }
+
+    /// Returns whether a table call that began less than `lease` ago showed no replacement.
+    fn is_held_within(&self, now: Time, lease: Span) -> bool {
         // A replacement that began before the registration did not ask this instance.
         let is_confirmed = self.confirmed.is_some_and(|confirmed| {
-            now < confirmed + LEADER_LEASE && confirmed >= self.registration.since
+            now < confirmed + lease && confirmed >= self.registration.since
         });
         is_confirmed && now < self.registration.until && self.is_settled()
     }
--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -11,6 +11,7 @@
 pub use group::Group;
 pub use health::Health;
 pub use leader_lease::Appointment;
+pub use leader_lease::COMMIT_LEASE;
 pub use leader_lease::LEADER_LEASE;
 pub use leader_lease::LeaderLease;
 pub use leadership::Leadership;
--- a/crates/relay/tests/relay/leader_lease.rs
+++ b/crates/relay/tests/relay/leader_lease.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use relay::failover::Revocation;
 use relay::group::Appointment;
+use relay::group::LEADER_LEASE;
 use relay::group::LeaderLease;
 
 const SCHEDULES: u64 = 10_000;
@@ -153,7 +154,7 @@
         });
         let registered: BTreeSet<Arc<str>> = registered.map(name).collect();
         let known = self.random.random_bool(0.8).then_some(registered);
-        let revocation = Revocation::open(at(millis), known);
+        let revocation = Revocation::open(at(millis), LEADER_LEASE, known);
         self.replacement = Some(Replacement { revocation, token });
     }
 
