Age a replica by what it shows after its restart

Cause: the age of a replica's data never fell back, although a replica that restarts may have applied less than it reported before. A read that accepts a stated age was then sent to it, or was answered by it after it had been chosen, and lacked writes acknowledged earlier than that age.

Change: a status with a lower applied position discards the age. An answer whose position is below the one for which the replica was chosen is discarded, and the read is tried again.

The second half in the daemon has no test of its own: its stand-in servers restart with what they had applied.

--- a/crates/daemon/src/session/read.rs
+++ b/crates/daemon/src/session/read.rs
@@ -7,6 +7,7 @@
 use clock::Time;
 use endpoint::Answer;
 use endpoint::Error;
+use endpoint::Position;
 use endpoint::Query;
 use endpoint::Role;
 use endpoint::Status;
@@ -38,7 +39,7 @@
 ) -> Result<Answer, Refusal> {
     let mut last = None;
     for _ in 0..TRIES {
-        let server = choose(context, work).await?;
+        let (server, shown) = choose(context, work).await?;
         let is_down = || !work.handle.is_up(&server);
         let acquired = tokio::select! {
             biased;
@@ -57,7 +58,8 @@
         };
         match attempt(context, work, &server, link, query).await {
             Ok((answer, status)) => {
-                if accept(context, work, &server, status).await {
+                // A server that restarted in between may show less than it was chosen for.
+                if status.applied >= shown && accept(context, work, &server, status).await {
                     context.node.meter.read(status.role == Role::Replica);
                     return Ok(answer);
                 }
@@ -82,8 +84,8 @@
     code.starts_with("57P") || code == "53300"
 }
 
-/// Waits for a server that fits the session's floor.
-async fn choose(context: &mut Context, work: &Work) -> Result<Arc<str>, Refusal> {
+/// Waits for a server that fits the session's floor, and returns what it is known to show.
+async fn choose(context: &mut Context, work: &Work) -> Result<(Arc<str>, Position), Refusal> {
     let max_age = Some(work.effective.max_age_ms).filter(|age| *age > 0);
     let floor = match max_age {
         // A stated staleness stands in for the unknown floor of a session without its token.
@@ -106,7 +108,13 @@
         }
         let now = context.node.now();
         match router.decide(now, &request, &replicas, primary.as_ref()) {
-            Route::Replica(server) | Route::Primary(server) => return Ok(server),
+            Route::Replica(server) => {
+                let chosen = replicas.iter().find(|one| one.source.endpoint == server);
+                let shown = chosen.map(|one| one.source.applied).unwrap_or_default();
+                return Ok((server, shown));
+            }
+            // A primary shows its whole log from its start on.
+            Route::Primary(server) => return Ok((server, Position::default())),
             Route::WaitUntil(until) => work.handle.changed(&mut changes, until).await,
             Route::Refuse { retry_after } => {
                 return Err(refuse::unavailable(&context.group, retry_after));
@@ -211,7 +219,7 @@
 }
 
 /// Waits until the log up to `seen` is known to survive any promotion.
-async fn wait_durable(context: &Context, work: &Work, seen: endpoint::Position) -> bool {
+async fn wait_durable(context: &Context, work: &Work, seen: Position) -> bool {
     let deadline: Time = work.queue_deadline;
     let mut changes = work.handle.changes();
     loop {
--- a/crates/group/src/server.rs
+++ b/crates/group/src/server.rs
@@ -67,6 +67,13 @@
         if status.received.term < self.received().term {
             return false;
         }
+        if self
+            .status
+            .is_some_and(|known| status.applied < known.applied)
+        {
+            // A replica may have applied less after its restart than it reported before.
+            self.fresh_at = None;
+        }
         self.status = Some(status);
         self.started = started;
         let offset = self.held.entry(status.received.term).or_default();
--- a/crates/group/tests/proof.rs
+++ b/crates/group/tests/proof.rs
@@ -6,6 +6,7 @@
 
 use clock::Time;
 use endpoint::Role;
+use endpoint::Status;
 use group::Ack;
 use group::Member;
 use group::Phase;
@@ -209,3 +210,25 @@
         Ack::Proven { .. }
     ));
 }
+
+/// Guards against a bounded read from a replica that applied less after its restart than before.
+#[test]
+fn a_replica_that_restarted_behind_is_as_old_as_what_it_shows() {
+    let mut harness = Harness::open();
+    let begun = harness.now;
+    harness.servers = vec![("e0", Role::Primary, 1, 20), ("e1", Role::Replica, 1, 20)];
+    harness.run(ms(50));
+    let fresh = |harness: &Harness| harness.view.replicas(harness.now)[0].fresh_at;
+    assert!(fresh(&harness) > Some(begun));
+    harness.servers.pop();
+    let status = Status {
+        role: Role::Replica,
+        received: at(1, 20),
+        applied: at(1, 10),
+    };
+    harness.now = harness.now + ms(10);
+    harness
+        .view
+        .on_status(harness.now, harness.now, "e1", status);
+    assert_eq!(fresh(&harness), Some(begun));
+}
--- a/crates/group/tests/simulation/client.rs
+++ b/crates/group/tests/simulation/client.rs
@@ -42,6 +42,8 @@
     max_age: Option<Span>,
     required: Vec<u64>,
     sent: bool,
+    /// What the server was known to show when the read was routed to it.
+    shown: Position,
 }
 
 impl Simulation {
@@ -84,6 +86,7 @@
             max_age: max_age.map(Span::from_micros),
             required: self.history.required(session, oldest),
             sent: false,
+            shown: Position::default(),
         };
         let life = self.instances[at].life;
         self.input(at, life, move |w| w.instances[at].reads.push(read));
@@ -241,6 +244,11 @@
             Route::WaitUntil(_) | Route::Refuse { .. } => return,
         };
         read.sent = true;
+        read.shown = replicas
+            .iter()
+            .find(|candidate| candidate.source.endpoint == endpoint(server))
+            .map(|candidate| candidate.source.applied)
+            .unwrap_or_default();
         let (id, required) = (read.id, read.required.clone());
         let work = move |w: &mut Self| {
             let target = &w.servers[server];
@@ -267,6 +275,10 @@
             return;
         };
         let read = reads.remove(place);
+        // The server restarted in between, so what it showed before says nothing of the answer.
+        if after < read.shown {
+            return;
+        }
         // A read without a token has a floor of its own; a read with a maximum age has none.
         let mut own = Floors::default();
         let floors = match (read.roaming.as_ref().and_then(floor_of), read.max_age) {
--- a/crates/group/tests/simulation/fault.rs
+++ b/crates/group/tests/simulation/fault.rs
@@ -27,7 +27,7 @@
         match self.rng.random_range(0..12) {
             0 => {
                 self.servers[server].up = false;
-                self.after(span, move |w| w.servers[server].up = true);
+                self.after(span, move |w| w.servers[server].restart());
             }
             1 => self.start(at, life + 1),
             2 => self.instances[at].paused_until = self.now + span,
--- a/crates/group/tests/simulation/server.rs
+++ b/crates/group/tests/simulation/server.rs
@@ -34,6 +34,14 @@
         }
     }
 
+    /// Comes back with its whole log; a replica has applied only a part of it again.
+    pub fn restart(&mut self) {
+        self.up = true;
+        if self.role == Role::Replica {
+            self.applied = (self.applied / 2).max(1);
+        }
+    }
+
     pub fn term(&self) -> u64 {
         self.log.last().map_or(0, |(term, _)| *term)
     }
