Confirm only orders that end this instance's proofs

Cause: a table that returned to an older copy gives out revisions and versions again. An instance took a row of a known version for the known row and extended its lease by reads that show an order. It also confirmed an announced order that it had passed over as older than its row, and the promoter then didn't wait for its proofs to lapse.

Change: a row is known only if its content is, too. An announcement is confirmed only if the known term is at least the announced one.

Random schedules have no return of the table.

--- a/crates/daemon/src/task/responder.rs
+++ b/crates/daemon/src/task/responder.rs
@@ -58,8 +58,8 @@
             } => {
                 let handle = self.node.group(&group)?;
                 let revision = row.revision;
-                handle.input(|view, now| view.on_announced(now, row, version));
-                Some(Reply::Acknowledged(revision))
+                let is_given_up = handle.input(|view, now| view.on_announced(now, row, version));
+                is_given_up.then_some(Reply::Acknowledged(revision))
             }
             Request::Rate(message) => {
                 let sends = limiter::on_message(&self.node, &caller.name, message);
--- a/crates/group/src/lease.rs
+++ b/crates/group/src/lease.rs
@@ -56,7 +56,8 @@
         if row.term < known.term {
             return RowChange::TermFell;
         }
-        if *known_version == version {
+        // A table that returned to an older copy may give out a known version again.
+        if *known_version == version && *known == row {
             self.read_started = self.read_started.max(started);
             return RowChange::Unchanged;
         }
--- a/crates/group/src/view/input.rs
+++ b/crates/group/src/view/input.rs
@@ -147,12 +147,16 @@
 
     /// Applies a row that a peer announced.
     ///
-    /// On return the proofs of earlier terms are given up; the peer may be told so with a reply
-    /// that has the row's revision.
-    pub fn on_announced(&mut self, now: Time, row: Row, version: u64) {
+    /// Returns true if the proofs of earlier terms are given up; the peer may be told so with a
+    /// reply that has the row's revision. They are kept if the known row has a higher revision but
+    /// a lower term, which a table that returned to an older copy leads to.
+    pub fn on_announced(&mut self, now: Time, row: Row, version: u64) -> bool {
         self.note_running(now);
+        let term = row.term;
         self.observe_row(now, None, row, version);
         self.extra_read = true;
+        let known = self.lease.row.as_ref();
+        known.is_some_and(|(known, _)| known.term >= term)
     }
 
     /// Applies a peer's reply to an `Action::Announce`.
--- a/crates/group/tests/proof.rs
+++ b/crates/group/tests/proof.rs
@@ -232,3 +232,49 @@
         .on_status(harness.now, harness.now, "e1", status);
     assert_eq!(fresh(&harness), Some(begun));
 }
+
+/// Guards against proofs from reads that show an order under a version given out before the table
+/// returned to an older copy.
+#[test]
+fn another_row_of_a_known_version_does_not_extend_the_lease() {
+    let mut harness = Harness::open();
+    harness.servers = HEALTHY[..2].into();
+    let ordered = Row {
+        term: 2,
+        phase: Phase::Ordered,
+        ..Row::first(1, Arc::from("e0"))
+    };
+    harness.table = Some((ordered, 1));
+    harness.run(ms(700));
+    assert_eq!(harness.view.proof(harness.now, at(1, 10)), Ack::Wait);
+}
+
+/// Guards against the confirmation of an order that this instance's proofs outlive.
+#[test]
+fn an_order_of_a_lower_revision_than_known_is_not_confirmed() {
+    let mut harness = Harness::open();
+    let known = Row {
+        revision: 20,
+        ..Row::first(1, Arc::from("e0"))
+    };
+    harness.table = Some((known, 20));
+    harness.servers = vec![("e0", Role::Primary, 1, 11), ("e1", Role::Replica, 1, 11)];
+    harness.feed();
+    let ordered = |revision| Row {
+        revision,
+        term: 2,
+        phase: Phase::Ordered,
+        ..Row::first(1, Arc::from("e0"))
+    };
+    let announce = |harness: &mut Harness, revision| {
+        let row = ordered(revision);
+        harness.view.on_announced(harness.now, row, revision)
+    };
+    assert!(!announce(&mut harness, 11));
+    assert!(matches!(
+        harness.view.proof(harness.now, at(1, 11)),
+        Ack::Proven { .. }
+    ));
+    assert!(announce(&mut harness, 21));
+    assert_eq!(harness.view.proof(harness.now, at(1, 11)), Ack::Wait);
+}
--- a/crates/group/tests/simulation/action.rs
+++ b/crates/group/tests/simulation/action.rs
@@ -131,7 +131,9 @@
     fn announced(&mut self, from: usize, to: usize, row: Row, version: u64) {
         let revision = row.revision;
         let (view, now) = self.view(to);
-        view.on_announced(now, row, version);
+        if !view.on_announced(now, row, version) {
+            return;
+        }
         self.send_to_peer(to, from, move |w| {
             let (view, now) = w.view(from);
             view.on_acknowledged(now, &name(to), revision);
