Count the time of a suspended machine in yuccamountd

Cause: yuccamountd measured leases and proofs with CLOCK_MONOTONIC, which stands still while a machine is suspended. An instance that resumed held the proofs of before, although a promoter had waited for their end, and its row could be gone from the table.

Change: the process uses the clock that includes suspensions, as yuccamount-edge does.

Result: the_time_of_an_instance_includes_suspensions failed before. It compares clocks; no run suspended a machine.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,9 +12,9 @@
 use account::key;
 use account::rate;
 use account::rate::Limiter;
+use clock::Boot;
 use clock::Clock;
 use clock::Span;
-use clock::System;
 use endpoint::Postgres;
 use front::Limits;
 use front::Listener;
@@ -150,7 +150,8 @@
 }
 
 fn open(options: Options) -> Result<Arc<Node>, Error> {
-    let clock: Arc<dyn Clock> = Arc::new(System::open());
+    // Proofs and leases must also end while the machine is suspended.
+    let clock: Arc<dyn Clock> = Arc::new(Boot);
     let ring = Ring::open(Arc::clone(&options.name), Arc::clone(&clock), RING_CAPACITY);
     let platform =
         Http::open(&options.platform, PLATFORM_TIMEOUT).map_err(|cause| Error::Setup {
--- a/crates/daemon/tests/fleet/stops.rs
+++ b/crates/daemon/tests/fleet/stops.rs
@@ -1,7 +1,8 @@
 //! Planned stops and starts.
 
 use admin::Control as _;
-
+use clock::Boot;
+use clock::Clock;
 use store::Table;
 
 use super::support::Fleet;
@@ -41,3 +42,12 @@
     })
     .await;
 }
+
+/// Guards against proofs and leases that stand still with the clock of a suspended machine.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_time_of_an_instance_includes_suspensions() {
+    let fleet = Fleet::open(55, 1).await;
+    let before = Boot.now();
+    let now = fleet.instances[0].node().now();
+    assert!(before <= now && now <= Boot.now(), "{now:?}");
+}
