End the proofs of a group that the settings replaced

Cause: a change of a group's servers opens a new view beside the one that running requests keep. The new one confirmed a promoter's order for the whole instance, while the earlier one proved writes for up to 600 ms more, and by the earlier servers. Besides, a task with earlier settings could reopen groups that another task had just closed, and leave a view of these running.

Change: the earlier view is closed before the new one can be asked, and proves nothing. Running requests ask the view in force for their proof. The groups are made equal to the settings by one task at a time, which reads them under the lock.

Result: a_group_of_earlier_settings_proves_nothing failed before. The order of two tasks has no test; it was found by reading.

--- a/crates/daemon/src/group/hub.rs
+++ b/crates/daemon/src/group/hub.rs
@@ -28,7 +28,13 @@
 const EVACUATION_GRACE: Span = Span::from_secs(4);
 
 /// Opens, updates and closes groups after the settings or the members changed.
-pub fn apply(node: &Arc<Node>, tree: &Tree) {
+///
+/// The settings are read under the lock, as a task with earlier ones would else reopen the groups
+/// that another has just closed.
+pub fn apply(node: &Arc<Node>) {
+    let _applying = lock(&node.applying);
+    let Some(held) = node.held() else { return };
+    let tree = &held.tree;
     let current = lock(&node.groups).clone();
     let mut next = BTreeMap::new();
     for (name, group) in &tree.groups {
@@ -50,6 +56,7 @@
             .is_some_and(|other: &Arc<Handle>| Arc::ptr_eq(other, handle));
         if !is_kept {
             handle.stop.cancel();
+            handle.tell(|view, _| view.close());
         }
     }
     *lock(&node.groups) = next;
--- a/crates/daemon/src/node/node.rs
+++ b/crates/daemon/src/node/node.rs
@@ -39,7 +39,7 @@
 /// The state that the tasks of one process share.
 ///
 /// The `std` locks are held for single decisions only, never across an `await`, and never two at
-/// once.
+/// once, but for `applying`, which is taken before any other.
 pub struct Node {
     /// The settings of the process.
     pub options: Options,
@@ -81,6 +81,8 @@
     pub tokens_added: Notify,
     /// The groups of the settings in force.
     pub groups: Mutex<BTreeMap<Arc<str>, Arc<Handle>>>,
+    /// Held while the groups are made equal to the settings in force, by one task at a time.
+    pub applying: Mutex<()>,
     /// The endpoints that the roster last listed as leaving.
     pub leaving: Mutex<BTreeSet<Arc<str>>>,
     /// The evacuated zones of the settings in force, with the times from which their primaries get
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -192,6 +192,7 @@
         limiter: Mutex::new(limiter),
         limiter_wake: Notify::new(),
         tokens_added: Notify::new(),
+        applying: Mutex::default(),
         leaving: Mutex::default(),
         evacuated: Mutex::default(),
         groups: Mutex::new(BTreeMap::new()),
--- a/crates/daemon/src/session/context.rs
+++ b/crates/daemon/src/session/context.rs
@@ -26,7 +26,7 @@
 const READ_PATIENCE: Span = Span::from_millis(10);
 
 /// The interval of looks whether a server still answers.
-const LOOK_EVERY: Span = Span::from_millis(20);
+pub(super) const LOOK_EVERY: Span = Span::from_millis(20);
 
 /// The state of a session between requests.
 pub(super) struct Context {
@@ -159,10 +159,10 @@
     ///
     /// Returns `Wait` if that was not known before the deadline.
     pub(super) async fn prove(&self, work: &Work, position: endpoint::Position) -> Ack {
-        let mut changes = work.handle.changes();
         loop {
-            changes.borrow_and_update();
-            let ack = work.handle.proof(position);
+            let handle = self.handle(work);
+            let mut changes = handle.changes();
+            let ack = handle.proof(position);
             match ack {
                 Ack::Replaced => return ack,
                 // Seen again here, since this task may have been paused in between.
@@ -172,8 +172,18 @@
             if self.node.now() >= work.deadline {
                 return Ack::Wait;
             }
-            crate::group::hasten(&self.node, &work.handle);
-            work.handle.changed(&mut changes, work.deadline).await;
+            crate::group::hasten(&self.node, &handle);
+            // A handle that is replaced has no further inputs.
+            let next = work.deadline.min(self.node.now() + LOOK_EVERY);
+            handle.changed(&mut changes, next).await;
         }
     }
+
+    /// Returns the group as it is in force now.
+    ///
+    /// The handle with which a request began proves nothing once the settings replaced it.
+    pub(super) fn handle(&self, work: &Work) -> Arc<Handle> {
+        let current = self.node.group(&self.group);
+        current.unwrap_or_else(|| Arc::clone(&work.handle))
+    }
 }
--- a/crates/daemon/src/session/read.rs
+++ b/crates/daemon/src/session/read.rs
@@ -21,6 +21,7 @@
 
 use super::context::Context;
 use super::context::Denial;
+use super::context::LOOK_EVERY;
 use super::context::Work;
 use super::refuse;
 use crate::group::Link;
@@ -221,16 +222,18 @@
 /// Waits until the log up to `seen` is known to survive any promotion.
 async fn wait_durable(context: &Context, work: &Work, seen: Position) -> bool {
     let deadline: Time = work.queue_deadline;
-    let mut changes = work.handle.changes();
     loop {
-        changes.borrow_and_update();
-        if work.handle.is_durable(seen) {
+        let handle = context.handle(work);
+        let mut changes = handle.changes();
+        if handle.is_durable(seen) {
             return true;
         }
         if context.node.now() >= deadline {
             return false;
         }
-        crate::group::hasten(&context.node, &work.handle);
-        work.handle.changed(&mut changes, deadline).await;
+        crate::group::hasten(&context.node, &handle);
+        // A handle that is replaced has no further inputs.
+        let next = deadline.min(context.node.now() + LOOK_EVERY);
+        handle.changed(&mut changes, next).await;
     }
 }
--- a/crates/daemon/src/task/lease.rs
+++ b/crates/daemon/src/task/lease.rs
@@ -153,9 +153,7 @@
         node.ring
             .record(event(Kind::Peer, "forgotten").with("peer", name));
     }
-    if let Some(held) = node.held() {
-        crate::group::apply(node, &held.tree);
-    }
+    crate::group::apply(node);
 }
 
 async fn read_roster(node: &Arc<Node>) {
--- a/crates/daemon/src/task/sync.rs
+++ b/crates/daemon/src/task/sync.rs
@@ -111,7 +111,7 @@
     lock(&node.renewer).set_lease_ms(lease_ms);
     keys::apply(node, &held);
     limiter::apply(node, &held);
-    crate::group::apply(node, &held.tree);
+    crate::group::apply(node);
 }
 
 /// Pushes a revision to the peers to which this instance forwards it.
--- a/crates/daemon/tests/fleet/settings_tree.rs
+++ b/crates/daemon/tests/fleet/settings_tree.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use admin::Control as _;
+use group::Ack;
 use settings::Answer;
 use settings::Change;
 use settings::Operation;
@@ -118,3 +119,26 @@
         }
     }
 }
+
+/// Guards against a write that is acknowledged by the servers of earlier settings, after the same
+/// instance has confirmed to a promoter that its proofs are over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_group_of_earlier_settings_proves_nothing() {
+    let fleet = Fleet::open(47, 1).await;
+    fleet.create_table().await;
+    let node = Arc::clone(fleet.instances[0].node());
+    let earlier = node.group("orders").unwrap();
+    let (_, position) = earlier.view(|view, now| view.confirmed(now)).unwrap();
+    until("a proof", || async {
+        matches!(earlier.proof(position), Ack::Proven { .. })
+    })
+    .await;
+    let endpoint = serde_json::json!({"zone": "z1", "address": "127.9.9.9:5432"});
+    let path = "groups/orders/endpoints/orders-4";
+    fleet.change(0, "more", path, endpoint).await;
+    until("the new settings", || async {
+        !Arc::ptr_eq(&earlier, &node.group("orders").unwrap())
+    })
+    .await;
+    assert_eq!(earlier.proof(position), Ack::Wait);
+}
--- a/crates/group/src/view/input.rs
+++ b/crates/group/src/view/input.rs
@@ -187,6 +187,13 @@
         self.policy = policy;
     }
 
+    /// Ends all proofs, before another view of the same instance and group is opened.
+    ///
+    /// A promoter takes the confirmation of the other view for that of the whole instance.
+    pub fn close(&mut self) {
+        self.is_closed = true;
+    }
+
     /// Sets the servers of the group after a change of the settings.
     ///
     /// The state of servers that stay in their zone is kept.
--- a/crates/group/src/view/mod.rs
+++ b/crates/group/src/view/mod.rs
@@ -53,6 +53,8 @@
     stall: Option<Stall>,
     /// The highest position that this view proved for an acknowledgement.
     proven: Position,
+    /// Whether another view has taken over the group; nothing is proven any more.
+    is_closed: bool,
     /// The time of the last input or tick.
     last_run: Time,
     /// When this process started or resumed; server silence counts from here at the earliest.
@@ -133,6 +135,7 @@
             term_since: Time::ZERO,
             stall: None,
             proven: Position::default(),
+            is_closed: false,
             last_run: now,
             running_since: now,
             leaving: BTreeSet::new(),
--- a/crates/group/src/view/proof.rs
+++ b/crates/group/src/view/proof.rs
@@ -14,6 +14,9 @@
         if self.policy.proof == Proof::None {
             return Ack::Proven { until: Time::NEVER };
         }
+        if self.is_closed {
+            return Ack::Wait;
+        }
         let ack = if position.term < self.term {
             self.inherited(now, position)
         } else {
