Don't confirm orders for an earlier process of the same name

Cause: a process that starts while an earlier one of its name still runs overwrites that one's row. A promoter lists the name once, and the new process confirmed the order for it. The earlier process learns of the other only at its next renewal and proved writes meanwhile by a read of the group's row from before the order.

Change: a process confirms orders once its own row is written and the lease that it found in the row of an earlier life is over. A planned stop removes the row, so that nothing is awaited after it.

Result: a_restarted_instance_is_not_alone_until_the_earlier_lease_is_over is new with the function that it tests. No test runs two processes of one name; the fault was found by reading.

--- a/crates/daemon/src/task/responder.rs
+++ b/crates/daemon/src/task/responder.rs
@@ -59,7 +59,9 @@
                 let handle = self.node.group(&group)?;
                 let revision = row.revision;
                 let is_given_up = handle.input(|view, now| view.on_announced(now, row, version));
-                is_given_up.then_some(Reply::Acknowledged(revision))
+                // Without a confirmation the promoter waits until all proofs are over.
+                let is_alone = lock(&self.node.renewer).is_alone(self.node.now());
+                (is_given_up && is_alone).then_some(Reply::Acknowledged(revision))
             }
             Request::Rate(message) => {
                 let sends = limiter::on_message(&self.node, &caller.name, message);
--- a/crates/membership/src/renewer.rs
+++ b/crates/membership/src/renewer.rs
@@ -64,6 +64,11 @@
     failures: u32,
     /// Whether another process has taken over the row; never reset.
     is_replaced: bool,
+    /// The lease duration in the row of an earlier life that the first renewal takes over.
+    predecessor_lease: Span,
+    /// Until when a process of an earlier life may count on its row; `None` before the first
+    /// renewal.
+    shared_until: Option<Time>,
 }
 
 impl Renewer {
@@ -78,6 +83,8 @@
             due: Time::ZERO,
             failures: 0,
             is_replaced: false,
+            predecessor_lease: Span::ZERO,
+            shared_until: None,
         }
     }
 
@@ -115,6 +122,15 @@
         self.is_replaced
     }
 
+    /// Returns true if this process is registered and no process of an earlier life counts on the
+    /// row any more.
+    ///
+    /// Only then may it answer for all processes of its name: one of an earlier life may still run,
+    /// and learns only at its next renewal that its row was taken over.
+    pub fn is_alone(&self, now: Time) -> bool {
+        self.shared_until.is_some_and(|until| now >= until)
+    }
+
     /// Sets the lease duration in milliseconds, from the next renewal on.
     pub fn set_lease_ms(&mut self, lease_ms: u64) {
         self.next_lease_ms = lease_ms;
@@ -132,12 +148,14 @@
     /// another life means that this process was replaced.
     pub fn on_row(&mut self, row: Option<&Row>) {
         self.is_read_required = false;
-        let other_life = row
+        let other = row
             .and_then(Lease::read)
-            .is_some_and(|lease| lease.life != self.lease.life);
+            .filter(|lease| lease.life != self.lease.life);
         let has_held = self.valid_until > Time::ZERO;
-        if other_life && has_held {
-            self.is_replaced = true;
+        if let Some(other) = other {
+            self.is_replaced |= has_held;
+            let lease = Span::from_millis(other.lease_ms);
+            self.predecessor_lease = self.predecessor_lease.max(lease);
         }
         self.version = row.map(|row| row.version);
     }
@@ -186,6 +204,8 @@
                 self.failures = 0;
                 let lease = Span::from_millis(self.lease.lease_ms);
                 self.valid_until = self.valid_until.max(started + lease);
+                self.shared_until
+                    .get_or_insert(now + self.predecessor_lease);
                 self.due = now + jittered(self.renewal_interval(), jitter);
             }
             Ok(Outcome::Conflict { rows }) => {
--- a/crates/membership/tests/membership/renewer.rs
+++ b/crates/membership/tests/membership/renewer.rs
@@ -164,3 +164,21 @@
 fn a_renewal_before_the_first_read_panics() {
     Renewer::open(lease("me", 7, "z1")).renewal(1);
 }
+
+/// Guards against a promoter that takes the confirmation of a restarted instance for that of an
+/// earlier process of the same name, which still acknowledges writes.
+#[test]
+fn a_restarted_instance_is_not_alone_until_the_earlier_lease_is_over() {
+    let first = leased();
+    assert!(first.is_alone(at(100)));
+    let mut second = Renewer::open(lease("me", 8, "z1"));
+    second.on_row(Some(&row(&lease("me", 7, "z1"), 1)));
+    second.renewal(1);
+    assert!(!second.is_alone(at(400)));
+    second.on_outcome(at(400), at(500), &committed(2), 0);
+    assert!(first.is_valid(at(2_999)), "it has not tried to renew");
+    assert!(!second.is_alone(at(3_499)));
+    assert!(second.is_alone(at(3_500)));
+    second.on_outcome(at(4_000), at(4_100), &committed(3), 0);
+    assert!(second.is_alone(at(4_100)));
+}
