Close the review's findings on leases of commits

A reviewer who had not seen the work read the trace and the fix, and the model searched it; none of these was seen in a run of whole instances: - a holder that found another leader settled without fencing a pending order of a dead one; - the wait for leases was skipped after a demotion, which a restart of the primary undoes; - replicas that drain were not asked where the lease has expired, though they can be promoted; - the end of the promoted log was recorded although a pending promotion could roll it back; - an instance confirmed for a group that it had yet to open; - claims without enough answering servers stopped the commits of all, and a primary that leaves but is out of reach was asked to step down for up to 36 s; - a holder that the table refused, or that stood still, left its row working or a replica paused.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -16,6 +16,7 @@
 use crate::group::Group;
 use crate::node::Fencing;
 use crate::node::Node;
+use crate::node::lock;
 
 /// Age of the last renewal up to which promotions are requested. Another instance takes the lease
 /// over no sooner than 3.5 s after a renewal, and a request takes up to 1.2 s.
@@ -63,7 +64,8 @@
         now < self.renewed + RENEWAL_MAX_AGE
     }
 
-    /// Acquires a group's lease if its holder died during a failover.
+    /// Acquires a group's lease if its holder died during a failover, or if this instance may have
+    /// left replicas paused.
     pub async fn acquire_abandoned(node: &Node, group: &Group) -> Takeover {
         let Some(row) = row::read(node, group, &Lease::key(&group.name)).await else {
             return Takeover::Unknown;
@@ -71,9 +73,12 @@
         let lease = row.as_ref().and_then(Lease::parse);
         let lease = lease.map(|lease| settled(group, lease));
         let phase = lease.map_or(Phase::Done, |lease| lease.phase);
-        if phase == Phase::Done {
-            return Takeover::NotNeeded;
-        }
+        let phase = match phase {
+            Phase::Done if !lock(&group.recheck).may_have_paused() => return Takeover::NotNeeded,
+            // The leader stays.
+            Phase::Done => Phase::Appointed,
+            unfinished => unfinished,
+        };
         if phase == Phase::Working && node.options.fencing == Fencing::Unchecked {
             // Nobody knows the leader, so the replacement is begun anew instead.
             return Takeover::Unknown;
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -137,6 +137,8 @@
             if is_written || !claim.is_current(self.node.now()) {
                 return;
             }
+            // The announcement may have been lost.
+            self.announce_settled(claim).await;
             sleep(RETRY_PAUSE).await;
         }
     }
@@ -147,6 +149,11 @@
             claim.lease.leader = Some(lock(&server.entry).address);
         }
         claim.lease.requested = None;
+        self.announce_settled(claim).await;
+    }
+
+    /// Tells all instances that the replacement is settled.
+    async fn announce_settled(&self, claim: &Claim) {
         let appointment = Appointment {
             is_settled: true,
             ..claim.lease.appointment()
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -127,10 +127,10 @@
             self.put_off(&opinion);
             return;
         }
-        if !self.reason.is_planned() && !self.reaches_successor().await {
+        if !self.reason.is_planned() && !self.reaches_successors().await {
             // Its claim would only stop the commits of instances that reach the primary.
             log::info!(
-                "event=failover-put-off group={} reason={} why=\"no server that could succeed the primary answers\"",
+                "event=failover-put-off group={} reason={} why=\"too few servers answer\"",
                 self.group.name,
                 self.reason
             );
@@ -288,13 +288,16 @@
         let phase = if is_settled {
             Phase::Done
         } else {
-            lock(&self.group.recheck).on_replacement(self.node.now());
+            lock(&self.group.recheck).on_failed(self.node.now());
             match is_unchanged {
                 true => Phase::Appointed,
                 false => Phase::Working,
             }
         };
-        claim.renew(self.node, self.group, phase).await;
+        if !claim.renew(self.node, self.group, phase).await {
+            // The row may show the replacement as under way for ever.
+            lock(&self.group.recheck).on_replacement(self.node.now());
+        }
     }
 
     /// Returns whether enough of the group's servers are known to replace a primary safely.
@@ -338,17 +341,18 @@
                 self.retire(&mut survey).await;
             }
             // A commit that is acknowledged later may be missing in the survey.
-            let is_retired = self.is_retired();
+            let mut is_retired = self.is_retired();
             self.collect(&mut survey).await;
             if self.reason.is_planned() {
                 // The instances acknowledge what the primary committed before it was demoted.
                 self.retire(&mut survey).await;
+                is_retired = self.is_retired();
             }
-            if self.reason == Reason::Evacuated
+            if self.reason.is_planned()
                 && attempt >= DEMOTION_ATTEMPTS_MAX
                 && survey.demoted.is_none()
             {
-                // The zone may have failed; then only paused replicas prove what was acknowledged.
+                // It or its zone may have failed; then only paused replicas prove what was acknowledged.
                 log::info!("event=primary-not-demoted group={}", self.group.name);
                 self.reason = Reason::Silent;
                 self.is_handover = false;
@@ -356,6 +360,7 @@
             if !self.is_unchecked()
                 && let Some(leader) = self.other_leader()
             {
+                self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
             let choice = match self.requested_earlier(claim) {
@@ -363,7 +368,8 @@
                 None => survey.choose(),
             };
             match choice {
-                Choice::Promote(_) if !is_retired && survey.demoted.is_none() => {
+                // A demoted primary that restarts may lead again.
+                Choice::Promote(_) if !is_retired => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
                 Choice::Promote(chosen) => {
@@ -371,7 +377,10 @@
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
                         self.group.name
                     );
-                    let end = survey.position(&chosen);
+                    // A pending promotion may roll the server back before this one takes effect.
+                    let end = survey
+                        .position(&chosen)
+                        .filter(|_| !claim.may_have_pending_promotion());
                     self.promotion().request(claim, &chosen, end).await?;
                     self.believe(self.group.server(&chosen).as_ref());
                     self.promotion().wait_for_proof(&chosen).await;
@@ -411,8 +420,16 @@
         survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
     }
 
-    /// Returns whether a server other than the old primary answers.
-    async fn reaches_successor(&self) -> bool {
+    /// Returns whether so many servers besides the old primary answer that one can be chosen.
+    async fn reaches_successors(&self) -> bool {
+        let holders = self.group.commit_holders(self.node.now()).len();
+        let departed = self.group.unconfirmed_departures().len();
+        let sync_replicas = lock(&self.group.settings).sync_replicas;
+        let needed = match self.mediation.instances().is_empty() {
+            true => holders.saturating_sub(sync_replicas + departed).max(1),
+            // The primary is demoted through others; then one replica may have its whole log.
+            false => 1,
+        };
         let servers = self.group.servers();
         let old = self.old.as_ref().map(|old| &old.name);
         let mut answers: FuturesUnordered<_> = servers
@@ -420,8 +437,10 @@
             .filter(|server| Some(&server.name) != old)
             .map(|server| command::run_pooled(self.node, server, &Statement::Status))
             .collect();
+        let mut answered = 0;
         while let Some(status) = answers.next().await {
-            if status.is_some() {
+            answered += usize::from(status.is_some());
+            if answered >= needed {
                 return true;
             }
         }
@@ -470,16 +489,24 @@
         if lock(&self.group.leadership).proven_at() < probed {
             return None;
         }
+        let old = Arc::clone(&old.name);
+        self.fence_pending(claim, &old).await?;
+        Some(old)
+    }
+
+    /// Requests the promotion of the leader if an earlier one may still take effect, which has the
+    /// earlier one rejected; `None` if that fails.
+    async fn fence_pending(&self, claim: &mut Claim, leader: &Arc<str>) -> Option<()> {
         let is_pending = match self.is_unchecked() {
             true => claim.lease.requested.is_some(),
             false => claim.may_have_pending_promotion(),
         };
         if is_pending {
-            self.promotion().request(claim, &old.name, None).await?;
+            self.promotion().request(claim, leader, None).await?;
             // Keeps the lease until the promotion has taken effect.
             sleep(PROMOTION_SETTLE_TIME).await;
         }
-        Some(Arc::clone(&old.name))
+        Some(())
     }
 
     /// Returns the leader if it is not the old primary.
@@ -610,6 +637,7 @@
                 is_any_paused |= status.is_none_or(|status| status.paused_term > 0);
             }
             if !is_any_paused {
+                lock(&self.group.recheck).on_resumed();
                 return;
             }
             sleep(RETRY_PAUSE).await;
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -296,13 +296,13 @@
             log::debug!("event=revocation-ignored from={address}");
         }
         Payload::EndReliance { id, group, token } => {
-            let mut acknowledged = Position::default();
+            // An instance that has yet to open the group must not confirm.
             if let Some(group) = node.group(&group) {
                 group.revoke_leader_lease(token);
-                acknowledged = lock(&group.leadership).acknowledged();
+                let acknowledged = lock(&group.leadership).acknowledged();
+                let payload = Payload::RelianceEnded { id, acknowledged };
+                node.peers.send(node, address, payload).await;
             }
-            let payload = Payload::RelianceEnded { id, acknowledged };
-            node.peers.send(node, address, payload).await;
         }
         Payload::ReplacementSettled {
             group,
--- a/crates/relay/src/session/commit.rs
+++ b/crates/relay/src/session/commit.rs
@@ -87,7 +87,7 @@
         let servers = self.group.servers();
         let replicas: Vec<&Arc<Server>> = servers
             .iter()
-            .filter(|server| server.name != self.server && !server.is_draining())
+            .filter(|server| server.name != self.server)
             .collect();
         if replicas.is_empty() {
             return false;
