--- a/crates/daemon/src/task/responder.rs
+++ b/crates/daemon/src/task/responder.rs
@@ -58,8 +58,10 @@
             } => {
                 let handle = self.node.group(&group)?;
                 let revision = row.revision;
-                handle.input(|view, now| view.on_announced(now, row, version));
-                Some(Reply::Acknowledged(revision))
+                let is_given_up = handle.input(|view, now| view.on_announced(now, row, version));
+                // Without a confirmation the promoter waits until all proofs are over.
+                let is_alone = lock(&self.node.renewer).is_alone(self.node.now());
+                (is_given_up && is_alone).then_some(Reply::Acknowledged(revision))
             }
             Request::Rate(message) => {
                 let sends = limiter::on_message(&self.node, &caller.name, message);
--- a/crates/relay/src/failover/command.rs
+++ b/crates/relay/src/failover/command.rs
@@ -22,6 +22,11 @@
 /// Maximum wait for a server's reply to a command or status query.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Queries a server's replication state; `None` if it doesn't answer.
+pub async fn status(node: &Node, server: &Arc<Server>) -> Option<Status> {
+    run_pooled(node, server, &Statement::Status).await
+}
+
 /// Runs a command on a pooled connection; `None` if that fails.
 pub async fn run_pooled(
     node: &Node,
@@ -95,10 +100,15 @@
     server: &Arc<Server>,
     term: u64,
 ) -> Option<Position> {
-    let status = run_pooled(node, server, &Statement::Demote { term }).await?;
-    if status.role == Role::Primary {
+    let status = run_pooled(node, server, &Statement::Demote { term }).await;
+    let Some(status) = status.filter(|status| status.role != Role::Primary) else {
+        log::info!(
+            "event=demotion-failed group={} server={} term={term}",
+            group.name,
+            server.name
+        );
         return None;
-    }
+    };
     log::info!(
         "event=primary-demoted group={} server={} position={}",
         group.name,
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -71,8 +71,7 @@
     term: u64,
     /// Whether the group's primary was ever replaced.
     was_replaced: bool,
-    /// The end of the other instances' reliance on the old primary; `None` where a replaced primary
-    /// refuses statements by itself.
+    /// The end of the instances' reliance on the old primary; `None` until the lease is held.
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
     mediation: Mediation,
@@ -108,6 +107,16 @@
         self.mediation = Mediation::open(&views, old);
         let views: Vec<View> = views.into_iter().map(|(_, view)| view).collect();
         let opinion = Opinion::of(&views, old);
+        log::info!(
+            "event=views group={} reason={} old={} asked={} answers={} naming={} newer={}",
+            self.group.name,
+            self.reason,
+            old.map_or("-", |old| old),
+            self.node.peer_addresses().len(),
+            opinion.answers,
+            views.iter().filter(|view| view.confirms(old)).count(),
+            opinion.newer
+        );
         if opinion.answers * 2 < self.node.peer_addresses().len() {
             // Most instances are unreachable, so they may reach a primary that this one can't.
             self.group
@@ -118,6 +127,15 @@
             self.put_off(&opinion);
             return;
         }
+        if !self.reason.is_planned() && !self.reaches_successors().await {
+            // Its claim would only stop the commits of instances that reach the primary.
+            log::info!(
+                "event=failover-put-off group={} reason={} why=\"too few servers answer\"",
+                self.group.name,
+                self.reason
+            );
+            return;
+        }
         let acknowledged = lock(&self.group.leadership).acknowledged();
         let acknowledged = acknowledged.max(opinion.acknowledged);
         if !self.knows_membership() {
@@ -141,10 +159,8 @@
             self.release(&mut claim, leader.is_some()).await;
             return;
         }
-        if self.is_unchecked() {
-            let token = claim.lease.token;
-            self.retirement = Some(Retirement::open(self.node, self.group, token).await);
-        }
+        let token = claim.lease.token;
+        self.retirement = Some(Retirement::open(self.node, self.group, token).await);
         let promoted = self.replace(&mut claim, acknowledged).await;
         log::info!(
             "event=failover-ended group={} promoted={} token={} ms={}",
@@ -155,9 +171,9 @@
         );
         if let Some(leader) = &promoted {
             let promotion = self.promotion();
-            promotion.record(&mut claim, leader).await;
+            promotion.settle(&mut claim, leader).await;
             promotion.announce(leader).await;
-            self.resume(leader).await;
+            join(promotion.record(&mut claim), self.resume(leader)).await;
         }
         self.release(&mut claim, promoted.is_some()).await;
         self.group
@@ -225,12 +241,18 @@
             .change_leader_lease(|lease| lease.set_candidate(address));
     }
 
-    /// Returns whether no instance relies on the old leader any more.
-    fn is_unused(&self, survey: &Survey) -> bool {
-        // A demoted primary refuses statements.
-        let is_demoted = survey.demoted.is_some();
+    /// Asks the instances that may still rely on the old leader to stop.
+    async fn retire(&mut self, survey: &mut Survey) {
+        if let Some(retirement) = &mut self.retirement {
+            retirement.request(self.node, self.group).await;
+            survey.acknowledged = survey.acknowledged.max(retirement.acknowledged());
+        }
+    }
+
+    /// Returns whether no instance acknowledges commits or reads of the old leader any more.
+    fn is_retired(&self) -> bool {
         let retirement = self.retirement.as_ref();
-        is_demoted || retirement.is_none_or(|retirement| retirement.has_ended(self.node))
+        retirement.is_none_or(|retirement| retirement.has_ended(self.node))
     }
 
     /// Finishes a replacement whose holder died, in a group that has a leader: replicas may be left
@@ -252,6 +274,7 @@
             claim.lease.token
         );
         if let Some(leader) = &leader {
+            self.promotion().settle(&mut claim, leader).await;
             self.resume(leader).await;
         }
         self.release(&mut claim, leader.is_some()).await;
@@ -260,18 +283,21 @@
     /// Writes the outcome to the lease. An unsettled failover may have left a pending promotion and
     /// paused replicas, so it stays `Working` for the next holder to see.
     async fn release(&self, claim: &mut Claim, is_settled: bool) {
-        let is_unchanged = self.is_unchecked() && claim.lease.requested.is_none();
+        // Without a request for a promotion the leader can't have changed.
+        let is_unchanged = claim.lease.reign != Some(claim.lease.token);
         let phase = if is_settled {
             Phase::Done
         } else {
-            lock(&self.group.recheck).on_replacement(self.node.now());
-            // Without a request for a promotion the leader can't have changed.
+            lock(&self.group.recheck).on_failed(self.node.now());
             match is_unchanged {
                 true => Phase::Appointed,
                 false => Phase::Working,
             }
         };
-        claim.renew(self.node, self.group, phase).await;
+        if !claim.renew(self.node, self.group, phase).await {
+            // The row may show the replacement as under way for ever.
+            lock(&self.group.recheck).on_replacement(self.node.now());
+        }
     }
 
     /// Returns whether enough of the group's servers are known to replace a primary safely.
@@ -311,15 +337,22 @@
             } else if attempt > TAIL_ATTEMPTS_MAX {
                 self.is_handover = self.reason.is_planned();
             }
-            if let Some(retirement) = &mut self.retirement {
-                retirement.request(self.node, self.group).await;
+            if !self.reason.is_planned() {
+                self.retire(&mut survey).await;
             }
+            // A commit that is acknowledged later may be missing in the survey.
+            let mut is_retired = self.is_retired();
             self.collect(&mut survey).await;
-            if self.reason == Reason::Evacuated
+            if self.reason.is_planned() {
+                // The instances acknowledge what the primary committed before it was demoted.
+                self.retire(&mut survey).await;
+                is_retired = self.is_retired();
+            }
+            if self.reason.is_planned()
                 && attempt >= DEMOTION_ATTEMPTS_MAX
                 && survey.demoted.is_none()
             {
-                // The zone may have failed; then only paused replicas prove what was acknowledged.
+                // It or its zone may have failed; then only paused replicas prove what was acknowledged.
                 log::info!("event=primary-not-demoted group={}", self.group.name);
                 self.reason = Reason::Silent;
                 self.is_handover = false;
@@ -327,6 +360,7 @@
             if !self.is_unchecked()
                 && let Some(leader) = self.other_leader()
             {
+                self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
             let choice = match self.requested_earlier(claim) {
@@ -334,7 +368,8 @@
                 None => survey.choose(),
             };
             match choice {
-                Choice::Promote(_) if !self.is_unused(&survey) => {
+                // A demoted primary that restarts may lead again.
+                Choice::Promote(_) if !is_retired => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
                 Choice::Promote(chosen) => {
@@ -342,7 +377,11 @@
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
                         self.group.name
                     );
-                    self.promotion().request(claim, &chosen).await?;
+                    // A pending promotion may roll the server back before this one takes effect.
+                    let end = survey
+                        .position(&chosen)
+                        .filter(|_| !claim.may_have_pending_promotion());
+                    self.promotion().request(claim, &chosen, end).await?;
                     self.believe(self.group.server(&chosen).as_ref());
                     self.promotion().wait_for_proof(&chosen).await;
                     return Some(chosen);
@@ -366,8 +405,12 @@
         let Some(old) = self.old.as_ref().filter(|_| !self.reason.is_planned()) else {
             return;
         };
-        if self.mediation.instances().is_empty() || !self.reaches_replica(&old.name).await {
-            // Nobody could succeed the primary.
+        if self.mediation.instances().is_empty() {
+            log::info!(
+                "event=primary-not-demoted-by-others group={} server={} why=\"no instance names it\"",
+                self.group.name,
+                old.name
+            );
             return;
         }
         let term = self.next_term(survey);
@@ -377,16 +420,27 @@
         survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
     }
 
-    /// Returns whether a server other than the old primary answers.
-    async fn reaches_replica(&self, old: &str) -> bool {
+    /// Returns whether so many servers besides the old primary answer that one can be chosen.
+    async fn reaches_successors(&self) -> bool {
+        let holders = self.group.commit_holders(self.node.now()).len();
+        let departed = self.group.unconfirmed_departures().len();
+        let sync_replicas = lock(&self.group.settings).sync_replicas;
+        let needed = match self.mediation.instances().is_empty() {
+            true => holders.saturating_sub(sync_replicas + departed).max(1),
+            // The primary is demoted through others; then one replica may have its whole log.
+            false => 1,
+        };
         let servers = self.group.servers();
+        let old = self.old.as_ref().map(|old| &old.name);
         let mut answers: FuturesUnordered<_> = servers
             .iter()
-            .filter(|server| *server.name != *old)
+            .filter(|server| Some(&server.name) != old)
             .map(|server| command::run_pooled(self.node, server, &Statement::Status))
             .collect();
+        let mut answered = 0;
         while let Some(status) = answers.next().await {
-            if status.is_some() {
+            answered += usize::from(status.is_some());
+            if answered >= needed {
                 return true;
             }
         }
@@ -435,16 +489,24 @@
         if lock(&self.group.leadership).proven_at() < probed {
             return None;
         }
+        let old = Arc::clone(&old.name);
+        self.fence_pending(claim, &old).await?;
+        Some(old)
+    }
+
+    /// Requests the promotion of the leader if an earlier one may still take effect, which has the
+    /// earlier one rejected; `None` if that fails.
+    async fn fence_pending(&self, claim: &mut Claim, leader: &Arc<str>) -> Option<()> {
         let is_pending = match self.is_unchecked() {
             true => claim.lease.requested.is_some(),
             false => claim.may_have_pending_promotion(),
         };
         if is_pending {
-            self.promotion().request(claim, &old.name).await?;
+            self.promotion().request(claim, leader, None).await?;
             // Keeps the lease until the promotion has taken effect.
             sleep(PROMOTION_SETTLE_TIME).await;
         }
-        Some(Arc::clone(&old.name))
+        Some(())
     }
 
     /// Returns the leader if it is not the old primary.
@@ -575,6 +637,7 @@
                 is_any_paused |= status.is_none_or(|status| status.paused_term > 0);
             }
             if !is_any_paused {
+                lock(&self.group.recheck).on_resumed();
                 return;
             }
             sleep(RETRY_PAUSE).await;
