--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -6,7 +6,6 @@
 use clock::Time;
 use store::Outcome;
 use store::Row;
-use store::version;
 use tokio::time::timeout;
 
 use crate::failover::Lease;
@@ -120,7 +119,7 @@
             .as_ref()
             .is_some_and(|lease| lease.phase == Phase::Working);
         let known_token = known_token.max(before.as_ref().map_or(0, |before| before.token));
-        let token = next_token(node.dependencies.table.era(), row.as_ref(), known_token);
+        let token = Lease::next_token(node.dependencies.table.era(), row.as_ref(), known_token);
         let has_request = before
             .as_ref()
             .is_some_and(|before| before.requested.is_some());
@@ -247,15 +246,3 @@
         ..lease
     }
 }
-
-/// Returns the next fencing token after `known`, the highest one that is known.
-///
-/// The row and the instances that knew a token may be gone once the table has returned from an older
-/// copy, so the era is part of the token: those of a later era are higher than all earlier ones. An
-/// unreadable row's version takes the place of the token that it held; versions exceed the tokens of
-/// their era.
-fn next_token(era: u64, row: Option<&Row>, known: u64) -> u64 {
-    let unreadable = row.filter(|row| Lease::parse(row).is_none());
-    let lost = unreadable.map_or(0, |row| row.version);
-    known.max(lost).max(version::join(era, 0)) + 1
-}
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -96,6 +96,18 @@
         self.token > version::join(version::era(version), 0)
     }
 
+    /// Returns the next fencing token after `known`, the highest one that is known.
+    ///
+    /// The row and the instances that knew a token may be gone once the table has returned from an
+    /// older copy, so the era is part of the token: those of a later era are higher than all earlier
+    /// ones. An unreadable row's version takes the place of the token that it held; versions exceed
+    /// the tokens of their era.
+    pub fn next_token(era: u64, row: Option<&Row>, known: u64) -> u64 {
+        let unreadable = row.filter(|row| Self::parse(row).is_none());
+        let lost = unreadable.map_or(0, |row| row.version);
+        known.max(lost).max(version::join(era, 0)) + 1
+    }
+
     /// Parses a row; `None` if it is unreadable.
     pub fn parse(row: &Row) -> Option<Self> {
         serde_json::from_str(&row.value).ok()
