Lose the former holder's replica after the views were asked

Cause: an instance that reaches fewer servers than can be chosen from no longer begins a replacement, so the trace of a replica that stays paused could not happen.

Change: the instance loses the replica one step later; the events are otherwise the same.

Result: the test passes. With Recheck::on_failed not recording that replicas may be paused, it fails: server 2 stays paused.

--- a/crates/relay/tests/model/rules_hold.rs
+++ b/crates/relay/tests/model/rules_hold.rs
@@ -99,12 +99,12 @@
         limits: Limits::many(),
     };
     let events = [
-        Event::Cut(1, 2),
         Event::Kill(0),
         Event::Cut(1, 0),
         Event::Pass,
         Event::Begin(1),
         Event::Step(1, Fate::Done),
+        Event::Cut(1, 2),
         Event::Step(1, Fate::Done),
         Event::Step(1, Fate::Done),
         Event::Step(1, Fate::Done),
