--- a/crates/relay/tests/model/rules_hold.rs
+++ b/crates/relay/tests/model/rules_hold.rs
@@ -129,3 +129,52 @@
     ];
     assert_eq!(replay(&world, &events), Ok(None));
 }
+
+/// Guards against an instance that never knows a leader: it saw a record of a later term, without an
+/// acknowledgement, at a server that a former holder had promoted, and the leader's log lacks that record.
+#[test]
+fn a_leader_whose_log_ends_in_an_earlier_term_is_known() {
+    let world = World {
+        rules: Rules::all(Fencing::Enforced),
+        limits: Limits::many(),
+    };
+    let events = [
+        Event::Send(0),
+        Event::Drain,
+        Event::Begin(1),
+        Event::Step(1, Fate::Done),
+        Event::Cut(0, 1),
+        Event::Receive(1),
+        Event::Step(1, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Join,
+        Event::Begin(0),
+        Event::Step(1, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Pass,
+        Event::Step(1, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Receive(3),
+        Event::PassLong,
+        Event::Step(0, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Step(1, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Pass,
+        Event::Step(0, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Send(1),
+        Event::Step(0, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Pass,
+        Event::Step(0, Fate::Done),
+        Event::Step(0, Fate::Done),
+        Event::Pass,
+    ];
+    assert_eq!(replay(&world, &events), Ok(None));
+}
