Don't let questions postpone the check of an unfinished replacement

Where fences are not checked, a row could stay working for ever: an instance without a leader asks for views every 0.5 to 0.85 s, and each question moved the holder's own check, due after 3.5 s.

Found by the model (an_instance_learns_of_an_end_that_is_not_in_the_row), which failed before and passes now; its entry leaves KNOWN-RED.txt. 10 of 11 tests of the model pass; the eleventh, a leader whose log ends in an earlier term, stays listed.

--- a/crates/relay/src/failover/recheck.rs
+++ b/crates/relay/src/failover/recheck.rs
@@ -20,7 +20,8 @@
 impl Recheck {
     /// Schedules a check because a replacement began or may still be in progress.
     pub fn on_replacement(&mut self, now: Time) {
-        self.due = Some(now + RECHECK_DELAY);
+        // Views that other instances ask for again and again must not put the check off for ever.
+        self.due = self.due.or(Some(now + RECHECK_DELAY));
     }
 
     /// Schedules a check because a replacement by this instance ended without a result.
