--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -70,7 +70,10 @@
             return Takeover::Unknown;
         };
         let lease = row.as_ref().and_then(Lease::parse);
-        let lease = lease.map(|lease| settled(group, lease));
+        let lease = lease.map(|lease| {
+            let announced = group.announced_appointment(lease.token);
+            lease.settled(announced)
+        });
         let phase = lease.map_or(Phase::Done, |lease| lease.phase);
         let phase = match phase {
             Phase::Done if !lock(&group.recheck).may_have_paused() => return Takeover::NotNeeded,
@@ -110,7 +113,10 @@
         if token(&newest) > token(&before) {
             before = newest;
         }
-        let before = before.map(|lease| settled(group, lease));
+        let before = before.map(|lease| {
+            let announced = group.announced_appointment(lease.token);
+            lease.settled(announced)
+        });
         if let Some(before) = before.as_ref().filter(|lease| lease.phase != Phase::Done) {
             // The previous holder may know servers that were removed before this instance started.
             group.restore_holders(&before.commit_holders);
@@ -230,19 +236,3 @@
         is_written
     }
 }
-
-/// Returns the lease as settled if its holder has announced that and could not write it.
-fn settled(group: &Group, lease: Lease) -> Lease {
-    let announced = group.announced_appointment(lease.token);
-    let Some(announced) = announced.filter(|_| lease.phase == Phase::Working) else {
-        return lease;
-    };
-    Lease {
-        phase: Phase::Appointed,
-        leader: announced.leader,
-        reign: Some(announced.reign),
-        end: announced.end,
-        requested: None,
-        ..lease
-    }
-}
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -90,6 +90,22 @@
         }
     }
 
+    /// Returns the lease as settled if its holder has `announced` that and could not write it.
+    pub fn settled(self, announced: Option<Appointment>) -> Self {
+        let announced = announced.filter(|announced| announced.token == self.token);
+        let Some(announced) = announced.filter(|_| self.phase == Phase::Working) else {
+            return self;
+        };
+        Self {
+            phase: Phase::Appointed,
+            leader: announced.leader,
+            reign: Some(announced.reign),
+            end: announced.end,
+            requested: None,
+            ..self
+        }
+    }
+
     /// Returns whether the token was chosen in the era of `version`, at which the lease was acquired.
     /// If the table returned from an older copy in between, another instance may have the same token.
     pub fn is_of_era(&self, version: u64) -> bool {
