Log what a waiting replacement of a primary knows

No log line told whether the bound was too high or the logs were gone, nor by which rule a server was chosen.

No change of logic. New: failover-bound (position, which instance received the reply, for own commits the server, age and unanswered commits), holder-dropped with the reason, the term of PAUSE and DEMOTE and each server's start, term, paused term and position in failover-waits, the rule in failover-chosen, and the counter failover_waits by reason.

--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -1,5 +1,6 @@
 //! Failover: replaces primaries that fail or leave.
 
+mod bound;
 mod check;
 mod claim;
 mod command;
@@ -17,6 +18,7 @@
 mod row;
 mod survey;
 
+use bound::Bound;
 pub use check::check;
 pub use command::demote;
 pub use command::status;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clock::Span;
+use clock::Time;
 use endpoint::Position;
 use endpoint::Role;
 use futures::StreamExt;
@@ -14,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::external::Status;
+use crate::failover::Bound;
 use crate::failover::Choice;
 use crate::failover::Mediation;
 use crate::failover::Opinion;
@@ -22,6 +24,7 @@
 use crate::failover::Reason;
 use crate::failover::Retirement;
 use crate::failover::Survey;
+use crate::failover::bound::Source;
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
 use crate::failover::command;
@@ -75,6 +78,10 @@
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
     mediation: Mediation,
+    /// The term of the last attempt's pause and demote commands.
+    command_term: u64,
+    /// The servers' answers in the last attempt, for the log.
+    statuses: Vec<String>,
     /// Whether the old primary steps down, so that replicas need not be paused to read their logs.
     is_handover: bool,
 }
@@ -91,6 +98,8 @@
             was_replaced: false,
             retirement: None,
             mediation: Mediation::default(),
+            command_term: 0,
+            statuses: Vec::new(),
             is_handover: reason.is_planned(),
         }
     }
@@ -105,6 +114,10 @@
             .await;
         let old = self.old.as_ref().map(|old| &old.name);
         self.mediation = Mediation::open(&views, old);
+        let mut bound = Bound::open(lock(&self.group.leadership).acknowledged());
+        for (address, view) in &views {
+            bound.raise(view.acknowledged, Source::View(*address));
+        }
         let views: Vec<View> = views.into_iter().map(|(_, view)| view).collect();
         let opinion = Opinion::of(&views, old);
         log::info!(
@@ -136,8 +149,6 @@
             );
             return;
         }
-        let acknowledged = lock(&self.group.leadership).acknowledged();
-        let acknowledged = acknowledged.max(opinion.acknowledged);
         if !self.knows_membership() {
             return;
         }
@@ -147,12 +158,14 @@
             return;
         };
         log::info!(
-            "event=failover-begun group={} reason={} old={} token={} acknowledged={acknowledged}",
+            "event=failover-begun group={} reason={} old={} token={} acknowledged={}",
             self.group.name,
             self.reason,
             old.map_or("-", |old| old),
-            claim.lease.token
+            claim.lease.token,
+            bound.position
         );
+        self.log_bound(&bound);
         let begun = self.node.now();
         if self.is_unchecked() && !self.take_appointed(&claim) {
             let leader = claim.lease.leader;
@@ -161,7 +174,7 @@
         }
         let token = claim.lease.token;
         self.retirement = Some(Retirement::open(self.node, self.group, token).await);
-        let promoted = self.replace(&mut claim, acknowledged).await;
+        let promoted = self.replace(&mut claim, bound).await;
         log::info!(
             "event=failover-ended group={} promoted={} token={} ms={}",
             self.group.name,
@@ -245,7 +258,13 @@
     async fn retire(&mut self, survey: &mut Survey) {
         if let Some(retirement) = &mut self.retirement {
             retirement.request(self.node, self.group).await;
-            survey.acknowledged = survey.acknowledged.max(retirement.acknowledged());
+        }
+        if let Some(retirement) = &self.retirement {
+            let bound = retirement.acknowledged();
+            if bound.position > survey.acknowledged {
+                survey.acknowledged = bound.position;
+                self.log_bound(bound);
+            }
         }
     }
 
@@ -319,10 +338,10 @@
     }
 
     /// Replaces the primary while the lease is held; returns the server that leads now.
-    async fn replace(&mut self, claim: &mut Claim, acknowledged: Position) -> Option<Arc<str>> {
+    async fn replace(&mut self, claim: &mut Claim, bound: Bound) -> Option<Arc<str>> {
         let mut survey = Survey {
             sync_replicas: lock(&self.group.settings).sync_replicas,
-            acknowledged,
+            acknowledged: bound.position,
             ..Survey::default()
         };
         let mut renewed = self.node.now();
@@ -363,9 +382,9 @@
                 self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
-            let choice = match self.requested_earlier(claim) {
-                Some(server) => Choice::Promote(server),
-                None => survey.choose(),
+            let (choice, rule) = match self.requested_earlier(claim) {
+                Some(server) => (Choice::Promote(server), "requested earlier"),
+                None => (survey.choose(), survey.rule()),
             };
             match choice {
                 // A demoted primary that restarts may lead again.
@@ -374,7 +393,7 @@
                 }
                 Choice::Promote(chosen) => {
                     log::info!(
-                        "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
+                        "event=failover-chosen group={} server={chosen} rule=\"{rule}\" survey=\"{survey:?}\"",
                         self.group.name
                     );
                     // A pending promotion may roll the server back before this one takes effect.
@@ -452,12 +471,39 @@
         self.term.max(survey.acknowledged.term) + 1
     }
 
+    /// Logs a bound with what is known of the reply that it comes from.
+    fn log_bound(&self, bound: &Bound) {
+        // Only this instance's own commits are known in detail.
+        let last = self.group.last_commit();
+        let last = last.filter(|_| bound.source == Source::Own);
+        log::info!(
+            "event=failover-bound group={} position={} source={} server={} age_ms={} unanswered={}",
+            self.group.name,
+            bound.position,
+            bound.source,
+            last.as_ref().map_or("-", |last| &*last.server),
+            last.as_ref().map_or_else(
+                || "-".to_owned(),
+                |last| self.age_ms(last.acknowledged_at).to_string()
+            ),
+            last.as_ref()
+                .map_or_else(|| "-".to_owned(), |last| last.unanswered.to_string())
+        );
+    }
+
+    fn age_ms(&self, at: Time) -> u64 {
+        self.node.now().since(at).as_millis()
+    }
+
     /// Logs that a replacement waits, once per several attempts.
     fn log_wait(&self, attempt: u32, why: &str, survey: &Survey) {
+        self.node.metrics.failover_wait(why);
         if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
             log::info!(
-                "event=failover-waits group={} why=\"{why}\" survey=\"{survey:?}\"",
-                self.group.name
+                "event=failover-waits group={} attempt={attempt} why=\"{why}\" command_term={} statuses=\"{}\" survey=\"{survey:?}\"",
+                self.group.name,
+                self.command_term,
+                self.statuses.join(" ")
             );
         }
     }
@@ -531,6 +577,8 @@
             .map(|server| Arc::clone(&server.name))
             .collect();
         let term = self.next_term(survey);
+        self.command_term = term;
+        self.statuses.clear();
         // A server paused by an earlier attempt may have restarted since.
         survey.paused.clear();
         survey.receiving.clear();
@@ -562,6 +610,7 @@
             survey.paused.insert(name, received);
         }
         for (server, is_old, status) in replies {
+            self.statuses.push(describe(server, status.as_ref()));
             let Some(status) = status else {
                 continue;
             };
@@ -659,3 +708,15 @@
             .flatten()
     }
 }
+
+/// Describes a server's answer in a survey, for the log.
+fn describe(server: &Server, status: Option<&Status>) -> String {
+    let born = lock(&server.entry).born;
+    let Some(status) = status else {
+        return format!("{}:born={born},silent", server.name);
+    };
+    format!(
+        "{}:born={born},role={},term={},paused={},received={}",
+        server.name, status.role, status.term, status.paused_term, status.received
+    )
+}
--- a/crates/relay/src/failover/retirement.rs
+++ b/crates/relay/src/failover/retirement.rs
@@ -7,10 +7,11 @@
 
 use account::rate;
 use account::rate::ROW_PREFIX;
-use endpoint::Position;
 use tokio::time::timeout;
 
+use crate::failover::Bound;
 use crate::failover::Revocation;
+use crate::failover::bound::Source;
 use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::COMMIT_LEASE;
 use crate::group::Group;
@@ -30,7 +31,7 @@
     /// The fencing token of the replacement.
     token: u64,
     /// The highest position of a commit acknowledged through an instance that gave its lease up.
-    acknowledged: Position,
+    acknowledged: Bound,
 }
 
 impl Retirement {
@@ -67,7 +68,7 @@
             revocation: Revocation::open(recorded, lease, names),
             instances: others.unwrap_or_default(),
             token,
-            acknowledged: lock(&group.leadership).acknowledged(),
+            acknowledged: Bound::open(lock(&group.leadership).acknowledged()),
         }
     }
 
@@ -84,13 +85,14 @@
             .await;
         for release in given_up {
             self.revocation.on_given_up(&release.instance);
-            self.acknowledged = self.acknowledged.max(release.acknowledged);
+            let source = Source::Release(release.instance);
+            self.acknowledged.raise(release.acknowledged, source);
         }
     }
 
     /// Returns the highest position of a commit known to have been acknowledged.
-    pub fn acknowledged(&self) -> Position {
-        self.acknowledged
+    pub fn acknowledged(&self) -> &Bound {
+        &self.acknowledged
     }
 
     /// Returns whether no instance relies on the primary any more.
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -79,6 +79,14 @@
         )
     }
 
+    /// Returns the rule by which `choose` chooses a server, for the log.
+    pub fn rule(&self) -> &'static str {
+        match self.successor_of_demoted() {
+            Some(_) => "whole log of the demoted primary",
+            None => "longest stopped log",
+        }
+    }
+
     /// Returns the position that a server's log has reached, if it answered.
     pub fn position(&self, server: &str) -> Option<Position> {
         let demoted = self.demoted.as_ref().filter(|(name, _)| **name == *server);
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -34,6 +34,7 @@
 use crate::group::Acknowledgement;
 use crate::group::Appointment;
 use crate::group::Health;
+use crate::group::LastCommit;
 use crate::group::LeaderLease;
 use crate::group::Leadership;
 use crate::group::Server;
@@ -84,6 +85,8 @@
     fencing: Fencing,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
+    /// The acknowledged commit whose reply carried the highest position.
+    last_commit: Mutex<Option<LastCommit>>,
     /// Servers whose entries were removed, by id; they may still hold commits.
     removed: Mutex<BTreeMap<Arc<str>, Removed>>,
     /// Chooses the servers for reads.
@@ -131,6 +134,7 @@
             leader_lease: Mutex::default(),
             fencing,
             servers: Mutex::default(),
+            last_commit: Mutex::default(),
             removed: Mutex::default(),
             balance: Mutex::default(),
             loads: Mutex::default(),
@@ -312,7 +316,13 @@
     pub fn commit_holders(&self, now: Time) -> BTreeSet<Arc<str>> {
         let mut holders: BTreeSet<Arc<str>> = lock(&self.servers).keys().cloned().collect();
         let mut removed = lock(&self.removed);
-        removed.retain(|_, server| now < server.at + REMOVED_RETENTION);
+        removed.retain(|name, server| {
+            let is_kept = now < server.at + REMOVED_RETENTION;
+            if !is_kept {
+                self.log_dropped(name, "retention");
+            }
+            is_kept
+        });
         holders.extend(removed.keys().cloned());
         holders
     }
@@ -692,10 +702,43 @@
     /// Applies a commit, sent at `sent`, that the leader acknowledged.
     pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
         self.on_proof(sent, server, position);
-        lock(&self.leadership).on_acknowledged(sent, position);
+        let is_highest = {
+            let mut leadership = lock(&self.leadership);
+            let is_highest = position > leadership.acknowledged();
+            leadership.on_acknowledged(sent, position);
+            is_highest
+        };
+        if is_highest {
+            let unanswered = self
+                .server(server)
+                .map_or(0, |server| lock(&server.health).outstanding_commits());
+            *lock(&self.last_commit) = Some(LastCommit {
+                server: Arc::clone(server),
+                acknowledged_at: self.clock.now(),
+                unanswered,
+            });
+        }
         // The servers that acknowledged it hold every earlier commit too.
-        lock(&self.removed)
-            .retain(|_, server| server.stopped.is_none_or(|stopped| sent <= stopped));
+        lock(&self.removed).retain(|name, server| {
+            let is_kept = server.stopped.is_none_or(|stopped| sent <= stopped);
+            if !is_kept {
+                self.log_dropped(name, "later-commit");
+            }
+            is_kept
+        });
+    }
+
+    /// Returns the acknowledged commit whose reply carried the highest position.
+    pub fn last_commit(&self) -> Option<LastCommit> {
+        lock(&self.last_commit).clone()
+    }
+
+    /// Logs that a server counts as a possible holder of commits no longer.
+    fn log_dropped(&self, server: &str, reason: &str) {
+        log::info!(
+            "event=holder-dropped group={} server={server} reason={reason}",
+            self.name
+        );
     }
 
     /// Records that a server is not the leader.
@@ -720,7 +763,11 @@
         }
         lock(&self.removed).retain(|former, server| {
             let address = server.entry.as_ref().map(|entry| entry.address);
-            address.is_none_or(|address| !is_replaced(former, address))
+            let is_kept = address.is_none_or(|address| !is_replaced(former, address));
+            if !is_kept {
+                self.log_dropped(former, "address-taken-over");
+            }
+            is_kept
         });
     }
 
--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -3,6 +3,7 @@
 mod acknowledgement;
 mod group;
 mod health;
+mod last_commit;
 mod leader_lease;
 mod leadership;
 mod server;
@@ -10,6 +11,7 @@
 pub use acknowledgement::Acknowledgement;
 pub use group::Group;
 pub use health::Health;
+pub use last_commit::LastCommit;
 pub use leader_lease::Appointment;
 pub use leader_lease::COMMIT_LEASE;
 pub use leader_lease::LEADER_LEASE;
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -44,6 +44,13 @@
     reason: String,
 }
 
+/// The label of an attempt to replace a primary that did not choose a server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Wait {
+    /// What is missing.
+    reason: String,
+}
+
 /// The label of a rejected datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Rejected {
@@ -99,6 +106,7 @@
     /// Statements run for other instances.
     pub run_for_others: Counter,
     forward_failures: Family<Failure, Counter>,
+    failover_waits: Family<Wait, Counter>,
     datagrams_received: Family<Received, Counter>,
     datagrams_rejected: Family<Rejected, Counter>,
 }
@@ -126,6 +134,7 @@
             run_after_forward: Counter::default(),
             run_for_others: Counter::default(),
             forward_failures: Family::default(),
+            failover_waits: Family::default(),
             datagrams_received: Family::default(),
             datagrams_rejected: Family::default(),
         };
@@ -206,6 +215,11 @@
             "Statements that the other instance did not answer, by reason",
             metrics.forward_failures.clone(),
         );
+        registry.register(
+            "failover_waits",
+            "Attempts to replace a primary that chose no server, by what was missing",
+            metrics.failover_waits.clone(),
+        );
         registry.register(
             "datagrams_received",
             "Datagrams from other instances by version",
@@ -243,6 +257,12 @@
             .inc();
     }
 
+    /// Counts an attempt to replace a primary that chose no server.
+    pub fn failover_wait(&self, reason: &str) {
+        let reason = reason.to_owned();
+        self.failover_waits.get_or_create(&Wait { reason }).inc();
+    }
+
     /// Counts a datagram of another instance.
     pub fn datagram_received(&self, version: u32) {
         self.datagrams_received
