Log how old a claim is when a promotion is ordered

event=order now carries attempt, claim_age_ms, took_ms and may_take_effect_later; event=order-withheld says that an order was not given because the row could not be written; event=newer-replacement says that an instance learned of another's replacement while it was replacing the primary itself. The counter orders{outcome} counts the same. No change of decisions.

--- a/crates/relay/src/external/promoter.rs
+++ b/crates/relay/src/external/promoter.rs
@@ -28,6 +28,17 @@
     Deferred,
 }
 
+impl Outcome {
+    /// Returns the label of the outcome in the metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Rejected => "rejected",
+            Self::Deferred => "deferred",
+        }
+    }
+}
+
 /// Promotes servers.
 #[async_trait]
 pub trait Promoter: Send + Sync {
--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -63,6 +63,11 @@
         now < self.renewed + RENEWAL_MAX_AGE
     }
 
+    /// Returns the time since the last successful write of the row began.
+    pub fn age(&self, now: Time) -> Span {
+        now.since(self.renewed)
+    }
+
     /// Acquires a group's lease if its holder died during a failover, or if this instance may have
     /// left replicas paused.
     pub async fn acquire_abandoned(node: &Node, group: &Group) -> Takeover {
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -69,17 +69,30 @@
             token: claim.lease.token,
         };
         let mut is_any_unanswered = false;
-        for _ in 0..ATTEMPTS_MAX {
-            if self.is_unchecked() && !claim.is_current(self.node.now()) {
-                self.renew(claim).await?;
+        for attempt in 1..=ATTEMPTS_MAX {
+            if self.is_unchecked()
+                && !claim.is_current(self.node.now())
+                && self.renew(claim).await.is_none()
+            {
+                self.log_withheld(&order, attempt, claim);
+                return None;
             }
+            let begun = self.node.now();
+            let age = claim.age(begun);
             let promoter = &self.node.dependencies.promoter;
             let given = timeout(REQUEST_TIMEOUT, promoter.promote(&order)).await;
+            let is_unanswered = !matches!(given, Ok(Ok(_)));
             log::info!(
-                "event=order group={} server={server} token={} answer=\"{given:?}\"",
+                "event=order group={} server={server} token={} attempt={attempt} claim_age_ms={} took_ms={} may_take_effect_later={is_unanswered} answer=\"{given:?}\"",
                 order.group,
-                order.token
+                order.token,
+                age.as_millis(),
+                self.node.now().since(begun).as_millis()
             );
+            self.node.metrics.order(match &given {
+                Ok(Ok(outcome)) => outcome.label(),
+                Ok(Err(_)) | Err(_) => "unanswered",
+            });
             match given {
                 Ok(Ok(Outcome::Done)) => return Some(()),
                 Ok(Ok(Outcome::Rejected)) => {
@@ -96,6 +109,19 @@
         None
     }
 
+    /// Logs that an order was not given, as the lease may have passed to another instance.
+    fn log_withheld(&self, order: &Order, attempt: u32, claim: &Claim) {
+        self.node.metrics.order("withheld");
+        log::info!(
+            "event=order-withheld group={} server={} token={} attempt={attempt} claim_age_ms={} newest_token={}",
+            order.group,
+            order.server,
+            order.token,
+            claim.age(self.node.now()).as_millis(),
+            self.node.leases.newest_token(&order.group)
+        );
+    }
+
     /// Waits until the promoted server proves its leadership, to this or another instance, or
     /// `PROOF_TIMEOUT` passes.
     pub async fn wait_for_proof(&self, chosen: &Arc<str>) {
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -51,6 +51,13 @@
     reason: String,
 }
 
+/// The label of an order to promote a server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ordered {
+    /// What became of it.
+    outcome: &'static str,
+}
+
 /// The label of a received datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Received {
@@ -99,6 +106,7 @@
     /// Statements run for other instances.
     pub run_for_others: Counter,
     forward_failures: Family<Failure, Counter>,
+    orders: Family<Ordered, Counter>,
     datagrams_received: Family<Received, Counter>,
     datagrams_rejected: Family<Rejected, Counter>,
 }
@@ -126,6 +134,7 @@
             run_after_forward: Counter::default(),
             run_for_others: Counter::default(),
             forward_failures: Family::default(),
+            orders: Family::default(),
             datagrams_received: Family::default(),
             datagrams_rejected: Family::default(),
         };
@@ -206,6 +215,11 @@
             "Statements that the other instance did not answer, by reason",
             metrics.forward_failures.clone(),
         );
+        registry.register(
+            "orders",
+            "Orders to promote a server by outcome",
+            metrics.orders.clone(),
+        );
         registry.register(
             "datagrams_received",
             "Datagrams from other instances by version",
@@ -243,6 +257,11 @@
             .inc();
     }
 
+    /// Counts an order to promote a server, by its outcome.
+    pub fn order(&self, outcome: &'static str) {
+        self.orders.get_or_create(&Ordered { outcome }).inc();
+    }
+
     /// Counts a datagram of another instance.
     pub fn datagram_received(&self, version: u32) {
         self.datagrams_received
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -298,6 +298,14 @@
         Payload::EndReliance { id, group, token } => {
             // An instance that has yet to open the group must not confirm.
             if let Some(group) = node.group(&group) {
+                if group.is_in_failover.load(Ordering::Relaxed) {
+                    log::info!(
+                        "event=newer-replacement group={} from={} token={token} newest_token={}",
+                        group.name,
+                        datagram.from,
+                        node.leases.newest_token(&group.name)
+                    );
+                }
                 group.revoke_leader_lease(token);
                 let acknowledged = lock(&group.leadership).acknowledged();
                 let payload = Payload::RelianceEnded { id, acknowledged };
