--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -58,6 +58,13 @@
     reason: String,
 }
 
+/// The label of an order to promote a server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ordered {
+    /// What became of it.
+    outcome: &'static str,
+}
+
 /// The label of a received datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Received {
@@ -107,6 +114,7 @@
     pub run_for_others: Counter,
     forward_failures: Family<Failure, Counter>,
     failover_waits: Family<Wait, Counter>,
+    orders: Family<Ordered, Counter>,
     datagrams_received: Family<Received, Counter>,
     datagrams_rejected: Family<Rejected, Counter>,
 }
@@ -135,6 +143,7 @@
             run_for_others: Counter::default(),
             forward_failures: Family::default(),
             failover_waits: Family::default(),
+            orders: Family::default(),
             datagrams_received: Family::default(),
             datagrams_rejected: Family::default(),
         };
@@ -220,6 +229,11 @@
             "Attempts to replace a primary that chose no server, by what was missing",
             metrics.failover_waits.clone(),
         );
+        registry.register(
+            "orders",
+            "Orders to promote a server by outcome",
+            metrics.orders.clone(),
+        );
         registry.register(
             "datagrams_received",
             "Datagrams from other instances by version",
@@ -263,6 +277,11 @@
         self.failover_waits.get_or_create(&Wait { reason }).inc();
     }
 
+    /// Counts an order to promote a server, by its outcome.
+    pub fn order(&self, outcome: &'static str) {
+        self.orders.get_or_create(&Ordered { outcome }).inc();
+    }
+
     /// Counts a datagram of another instance.
     pub fn datagram_received(&self, version: u32) {
         self.datagrams_received
