Believe a leader whose log ends in an earlier term

Callers saw a group without a primary for as long as nobody committed, and nobody could commit. An instance had seen a record of term 3 at a server that a former holder promoted; no commit needed the record and the next leader's log ended in term 1. `Leadership` took the term of the last record for the order of leaders, so it rejected that leader's proofs until its first commit, which needs a known leader.

The candidate of an own replacement has the token of that replacement. Samples are cleared with the log, also where a leader was rolled back and promoted again. `term` remains the newest term that was shown, for PAUSE and DEMOTE; `log_term` is that of the leader's log. A session's token in a term that has ended is covered by the first position of the present leader; one in a term that this instance has not seen is read at the leader, before it was sent as a floor that no server may reach.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -36,6 +36,7 @@
 use crate::group::Health;
 use crate::group::LeaderLease;
 use crate::group::Leadership;
+use crate::group::Proof;
 use crate::group::Server;
 use crate::node::Fencing;
 use crate::node::Share;
@@ -532,12 +533,13 @@
             return false;
         }
         let is_only_leader = self.has_proof_of_leadership();
+        let proof = self.proof(sent, position);
         let is_new = {
             let mut leadership = lock(&self.leadership);
             if is_only_leader {
-                leadership.on_proof(sent, server, position)
+                leadership.on_proof(server, proof)
             } else {
-                leadership.on_claim(sent, server, position)
+                leadership.on_claim(server, proof)
             }
         };
         self.is_leader_unreachable.store(false, Ordering::Relaxed);
@@ -551,12 +553,24 @@
         is_only_leader
     }
 
+    /// Returns the proof in a reply of the leader to a request sent at `sent`.
+    fn proof(&self, sent: Time, position: Position) -> Proof {
+        let is_unchecked = self.fencing == Fencing::Unchecked;
+        Proof {
+            sent,
+            received: self.clock.now(),
+            position,
+            reign: is_unchecked.then(|| lock(&self.leader_lease).reign()),
+        }
+    }
+
     /// Applies a leader's position that another instance obtained by a request sent at `sent`.
     pub fn on_report(&self, sent: Time, server: &Arc<str>, position: Position) {
         if !self.admits(server) || self.has_silent_leader() {
             return;
         }
-        if lock(&self.leadership).on_proof(sent, server, position) {
+        let proof = self.proof(sent, position);
+        if lock(&self.leadership).on_proof(server, proof) {
             log::info!(
                 "event=leader-reported group={} server={server} position={position}",
                 self.name
--- a/crates/relay/src/group/leader_lease.rs
+++ b/crates/relay/src/group/leader_lease.rs
@@ -55,8 +55,9 @@
     ///
     /// Invariant: the lease is not held before an appointment with this token is settled.
     revoked: u64,
-    /// The only server whose proofs this instance believes while it replaces the leader itself.
-    candidate: Option<SocketAddr>,
+    /// The only server whose proofs this instance believes while it replaces the leader itself, and
+    /// `revoked` when it was chosen.
+    candidate: Option<(SocketAddr, u64)>,
 }
 
 impl LeaderLease {
@@ -119,7 +120,7 @@
 
     /// Sets the server whose proofs this instance believes while it replaces the leader itself.
     pub fn set_candidate(&mut self, candidate: Option<SocketAddr>) {
-        self.candidate = candidate;
+        self.candidate = candidate.map(|candidate| (candidate, self.revoked));
     }
 
     /// Returns the token of the latest replacement, 0 if there was none; `None` while one may be under
@@ -178,7 +179,7 @@
 
     /// Returns whether proofs of the server at `address` may be believed.
     pub fn admits(&self, address: SocketAddr) -> bool {
-        if let Some(candidate) = self.candidate {
+        if let Some((candidate, _)) = self.candidate {
             return candidate == address;
         }
         let leader = self
@@ -187,6 +188,16 @@
         self.is_settled() && leader.is_none_or(|leader| leader == address)
     }
 
+    /// Returns the token of the replacement that appointed the server whose proofs may be believed, 0
+    /// if there was none.
+    pub fn reign(&self) -> u64 {
+        if let Some((_, token)) = self.candidate {
+            return token;
+        }
+        self.appointment()
+            .map_or(0, |appointment| appointment.reign)
+    }
+
     /// Returns whether the lease is held at `now`.
     pub fn is_held(&self, now: Time) -> bool {
         self.is_held_within(now, LEADER_LEASE)
--- a/crates/relay/src/group/leadership.rs
+++ b/crates/relay/src/group/leadership.rs
@@ -1,5 +1,6 @@
 //! What is known of a group's leader and of the end of its log.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -7,6 +8,8 @@
 use clock::Time;
 use endpoint::Position;
 
+use crate::group::Proof;
+
 /// Minimum time between two samples.
 const SAMPLE_SPACING: Span = Span::from_millis(20);
 /// Maximum number of samples; at the spacing above they cover more than five seconds, twice the
@@ -29,12 +32,23 @@
 /// Only replies that a server can give solely while it leads count as proof.
 #[derive(Clone, Debug, Default)]
 pub struct Leadership {
-    /// The newest proven term; it never decreases.
+    /// The newest term that a leader showed; it never decreases.
     term: u64,
+    /// The term in which the log of `last_server` ends. It is lower than `term` if an earlier leader
+    /// showed records that no commit needed and that the present one lacks.
+    log_term: u64,
+    /// The newest term in which the log of an earlier leader ended.
+    ///
+    /// Invariant: every commit in a term up to this one precedes the first of `samples`.
+    ended_term: u64,
+    /// The latest reign of an accepted proof, where proofs name one.
+    reign: u64,
     /// The leader; `None` while it is unknown.
     server: Option<Arc<str>>,
     /// The last proven leader, even if it was found not to lead since.
     last_server: Option<Arc<str>>,
+    /// The highest position that `last_server` showed in `log_term`.
+    shown: Position,
     /// Samples of `last_server`, oldest first.
     samples: VecDeque<Sample>,
     /// The highest position of a commit acknowledged through this instance.
@@ -43,6 +57,8 @@
     committed_at: Time,
     /// When the request was sent whose reply last proved a leader.
     proven_at: Time,
+    /// When the last accepted proof was received.
+    received_at: Time,
 }
 
 impl Leadership {
@@ -51,7 +67,7 @@
         self.server.as_ref()
     }
 
-    /// Returns the newest proven term.
+    /// Returns the newest term that a leader showed, which the present leader's log may lack.
     pub fn term(&self) -> u64 {
         self.term
     }
@@ -72,38 +88,67 @@
         self.acknowledged
     }
 
-    /// Applies a reply that only the one leader can give, to a request sent at `sent`; returns
-    /// whether the leader or its term is new.
-    pub fn on_proof(&mut self, sent: Time, server: &Arc<str>, position: Position) -> bool {
-        let is_new = self.on_claim(sent, server, position);
-        self.on_sample(sent, server, position);
+    /// Applies a reply that only the one leader can give; returns whether the leader or the term of
+    /// its log is new.
+    pub fn on_proof(&mut self, server: &Arc<str>, proof: Proof) -> bool {
+        let is_new = self.on_claim(server, proof);
+        self.on_sample(proof.sent, server, proof.position);
         is_new
     }
 
-    /// Applies a reply that only a leader can give, to a request sent at `sent`, from a server that
-    /// may have been replaced before it replied; returns whether the leader or its term is new.
-    pub fn on_claim(&mut self, sent: Time, server: &Arc<str>, position: Position) -> bool {
+    /// Applies a reply that only a leader can give, from a server that may have been replaced before
+    /// it replied; returns whether the leader or the term of its log is new.
+    pub fn on_claim(&mut self, server: &Arc<str>, proof: Proof) -> bool {
+        let position = proof.position;
+        self.term = self.term.max(position.term);
         let is_other = self.last_server.as_ref() != Some(server);
-        if position.term < self.term || (is_other && sent < self.proven_at) {
+        if !self.is_recent(is_other, proof) {
             // A late reply: another server has taken over since.
             return false;
         }
-        let is_new = self.server.as_ref() != Some(server) || position.term > self.term;
-        if is_other || position.term > self.term {
+        let is_other_term = position.term != self.log_term;
+        let is_rolled_back = position < self.shown && self.is_later_reign(proof);
+        let is_new = self.server.as_ref() != Some(server) || is_other_term;
+        if is_other || is_other_term || is_rolled_back {
             // Unacknowledged records may be missing from the new leader's log. Its positions stay
-            // in the earlier term until its first commit.
+            // in an earlier term until its first commit.
             self.samples.clear();
-            self.term = position.term;
+            self.ended_term = self.ended_term.max(self.log_term);
+            self.log_term = position.term;
+            self.shown = Position::default();
         }
+        self.shown = self.shown.max(position);
+        self.reign = self.reign.max(proof.reign.unwrap_or_default());
         self.server = Some(Arc::clone(server));
         self.last_server = Some(Arc::clone(server));
-        self.proven_at = self.proven_at.max(sent);
+        self.proven_at = self.proven_at.max(proof.sent);
+        self.received_at = self.received_at.max(proof.received);
         is_new
     }
 
+    /// Returns whether a proof is not known to precede the last accepted one.
+    fn is_recent(&self, is_other: bool, proof: Proof) -> bool {
+        if is_other && proof.sent < self.proven_at {
+            return false;
+        }
+        match proof.position.term.cmp(&self.log_term) {
+            Ordering::Greater => true,
+            Ordering::Equal => !is_other || proof.sent >= self.received_at,
+            // Records of the newer term were rolled back by a promotion since.
+            Ordering::Less => self.is_later_reign(proof),
+        }
+    }
+
+    /// Returns whether a proof is of a time in which the last accepted one may no longer hold.
+    fn is_later_reign(&self, proof: Proof) -> bool {
+        // Where replaced primaries refuse by themselves, the order of the requests tells who leads.
+        let is_other_reign = proof.reign.is_none_or(|reign| reign > self.reign);
+        is_other_reign && proof.sent >= self.received_at
+    }
+
     /// Records the position in a reply to a request sent at `sent`, unless the reply is late.
     fn on_sample(&mut self, sent: Time, server: &Arc<str>, position: Position) {
-        let is_leader = self.last_server.as_ref() == Some(server) && position.term == self.term;
+        let is_leader = self.last_server.as_ref() == Some(server) && position.term == self.log_term;
         let is_sample_due = self
             .samples
             .back()
@@ -145,16 +190,19 @@
     }
 
     /// Returns a position in the leader's log that covers an acknowledged commit whose reply
-    /// carried `seen`; `None` if no position is known.
+    /// carried `seen`; `None` if no position is known, so that only the leader can be asked.
     ///
     /// `seen` may include later, unacknowledged records, which are lost if the leader was replaced
     /// since. In that case the first known position of the new leader covers the commit.
     pub fn covering_position(&self, seen: Position) -> Option<Position> {
         let first = self.samples.front()?.position;
         let newest = self.samples.back()?.position;
-        if seen.term < newest.term {
+        let is_of_earlier_leader = seen.term <= self.ended_term;
+        if seen.term < newest.term || (is_of_earlier_leader && seen > first) {
             return Some(first);
         }
-        Some(seen)
+        // In a later term the record may be the leader's own or lost; in the term of the leader's
+        // log its samples are only a little older.
+        (seen.term == newest.term).then_some(seen)
     }
 }
--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -5,6 +5,7 @@
 mod health;
 mod leader_lease;
 mod leadership;
+mod proof;
 mod server;
 
 pub use acknowledgement::Acknowledgement;
@@ -16,4 +17,5 @@
 pub use leader_lease::LeaderLease;
 pub use leadership::Leadership;
 pub use leadership::Sample;
+pub use proof::Proof;
 pub use server::Server;
--- a/crates/relay/tests/relay/leader_lease.rs
+++ b/crates/relay/tests/relay/leader_lease.rs
@@ -231,3 +231,26 @@
     assert!(first_violation(100, Defect::NoWait).is_some());
     assert!(first_violation(100, Defect::OnlyAnswers).is_some());
 }
+
+/// Guards against a holder that rejects the proofs of the server that it has promoted: the row names the
+/// earlier leader until the replacement is settled.
+#[test]
+fn the_candidate_of_a_replacement_begins_its_reign() {
+    let mut lease = LeaderLease::default();
+    let appointment = Appointment {
+        token: 4,
+        leader: Some(server(1)),
+        is_settled: true,
+        reign: 3,
+        end: None,
+    };
+    assert_eq!(lease.reign(), 0);
+    lease.on_read(at(0), Some(appointment));
+    assert_eq!(lease.reign(), 3);
+    lease.revoke(7);
+    lease.set_candidate(Some(server(2)));
+    lease.revoke(8);
+    assert_eq!(lease.reign(), 7, "token 8 is that of another holder");
+    lease.set_candidate(None);
+    assert_eq!(lease.reign(), 3);
+}
