--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -6,6 +6,7 @@
 mod last_commit;
 mod leader_lease;
 mod leadership;
+mod proof;
 mod server;
 
 pub use acknowledgement::Acknowledgement;
@@ -18,4 +19,5 @@
 pub use leader_lease::LeaderLease;
 pub use leadership::Leadership;
 pub use leadership::Sample;
+pub use proof::Proof;
 pub use server::Server;
