Send a leaving server no new statement after its drain time

The only replica with the whole log of a demoted primary had been leaving for longer than its drain time. It is promoted, since commits would be lost otherwise, and was then used like any other primary.

Change: each instance keeps the time until which a leaving server gets new statements and transactions. A primary past it only leads until another server has its log; callers are told to come back. Open transactions go on, and a primary within its drain time is used as before.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -40,6 +40,7 @@
 use crate::group::Proof;
 use crate::group::Server;
 use crate::node::Fencing;
+use crate::node::Options;
 use crate::node::Share;
 use crate::node::lock;
 use crate::pool::Pool;
@@ -53,6 +54,10 @@
 /// with its log well before that.
 const REMOVED_RETENTION: Span = Span::from_secs(30);
 
+/// A statement is sent, queued and received, and the report of a leaving server reaches this
+/// instance, within this time.
+const DRAIN_MARGIN: Span = Span::from_millis(500);
+
 /// A leader that has not replied to this instance for this long is probed by it.
 const LEADER_SILENCE: Span = Span::from_millis(300);
 /// Concurrent statements that all instances together send to a server per slot: some run, the
@@ -84,6 +89,8 @@
     leader_lease: Mutex<LeaderLease>,
     /// Whether a replaced primary refuses statements by itself.
     fencing: Fencing,
+    /// How long new statements may reach a server after it has reported that it leaves.
+    drain_bound: Option<Span>,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
     /// The acknowledged commit whose reply carried the highest position.
@@ -122,18 +129,18 @@
     pub fn open(
         name: &Arc<str>,
         settings: settings::Group,
-        fencing: Fencing,
+        options: &Options,
         connector: Arc<dyn Connector>,
         clock: Arc<dyn Clock>,
         evacuations: Arc<Mutex<Evacuations>>,
-        warmup_allowance: Allowance,
     ) -> Arc<Self> {
         Arc::new(Self {
             name: Arc::clone(name),
             settings: Mutex::new(settings),
             leadership: Mutex::default(),
             leader_lease: Mutex::default(),
-            fencing,
+            fencing: options.fencing,
+            drain_bound: options.drain_bound,
             servers: Mutex::default(),
             last_commit: Mutex::default(),
             removed: Mutex::default(),
@@ -149,7 +156,7 @@
             connector,
             clock,
             evacuations,
-            warmup_allowance,
+            warmup_allowance: options.warmup_allowance,
             turn: Mutex::default(),
         })
     }
@@ -253,6 +260,7 @@
                 let was_draining = current.is_draining;
                 if entry.is_draining && !was_draining {
                     log::info!("event=server-draining group={} server={name}", self.name);
+                    *lock(&server.drain_deadline) = self.drain_deadline();
                 }
                 let left = Span::from_millis(entry.warmup_left_ms);
                 *current = entry;
@@ -285,8 +293,11 @@
             Arc::clone(&self.clock),
         );
         let warmup = self.warmup_since_start(&entry);
+        // It is not known for how long a server has been leaving that is seen for the first time.
+        let is_leaving = entry.is_draining && self.drain_bound.is_some();
         let server = Server {
             name: Arc::clone(name),
+            drain_deadline: Mutex::new(is_leaving.then(|| self.clock.now())),
             warmup: Mutex::new(warmup),
             entry: Mutex::new(entry),
             health,
@@ -297,6 +308,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the time until which a server that has just reported that it leaves gets new statements.
+    fn drain_deadline(&self) -> Option<Time> {
+        let span = self.drain_bound?.as_micros();
+        let span = span.saturating_sub(DRAIN_MARGIN.as_micros());
+        Some(self.clock.now() + Span::from_micros(span))
+    }
+
     /// Limits this instance to its share of the `total` connections to each server, and its
     /// concurrent statements in proportion.
     pub fn set_connection_share(&self, now: Time, share: Share, total: usize) {
--- a/crates/relay/src/group/server.rs
+++ b/crates/relay/src/group/server.rs
@@ -24,6 +24,9 @@
     pub(super) warmup: Mutex<Warmup>,
     /// The connections to it.
     pub pool: Arc<Pool>,
+    /// When a server that is about to leave gets its last new statement; `None` if it stays or there
+    /// is no bound.
+    pub(super) drain_deadline: Mutex<Option<Time>>,
     /// The evacuated zones.
     pub(super) evacuations: Arc<Mutex<Evacuations>>,
 }
@@ -39,6 +42,13 @@
         lock(&self.evacuations).covers(&self.zone())
     }
 
+    /// Returns whether it gets no new statement or transaction at `now`, as its zone is evacuated or
+    /// it has been leaving for too long. It may still lead until another server has its whole log.
+    pub fn is_closed(&self, now: Time) -> bool {
+        let is_drained = lock(&self.drain_deadline).is_some_and(|deadline| now >= deadline);
+        is_drained || self.is_evacuated()
+    }
+
     /// Returns when open transactions at this server are rolled back; `None` if its zone isn't
     /// evacuated.
     pub fn transaction_deadline(&self) -> Option<Time> {
--- a/crates/relay/src/node/node.rs
+++ b/crates/relay/src/node/node.rs
@@ -647,11 +647,10 @@
             let group = Group::open(
                 name,
                 settings.clone(),
-                self.options.fencing,
+                &self.options,
                 Arc::clone(&self.dependencies.connector),
                 Arc::clone(&self.dependencies.clock),
                 Arc::clone(&self.evacuations),
-                self.options.warmup_allowance,
             );
             lock(&self.groups).insert(Arc::clone(name), Arc::clone(&group));
             self.leader_appointed.notify_one();
--- a/crates/relay/src/node/options.rs
+++ b/crates/relay/src/node/options.rs
@@ -40,6 +40,9 @@
     /// How long after the operator's order requests may still reach a server in an evacuated zone;
     /// `None` if evacuations are not followed.
     pub evacuation_bound: Option<Span>,
+    /// How long after a server has reported that it leaves new statements may still reach it; `None`
+    /// if they may until it is gone.
+    pub drain_bound: Option<Span>,
     /// How far requests to cold servers may exceed their rate.
     pub warmup_allowance: Allowance,
     /// Whether statements are forwarded between the instances of a zone where an instance can't keep
--- a/crates/relay/src/session/read.rs
+++ b/crates/relay/src/session/read.rs
@@ -35,6 +35,8 @@
 
 /// Why a statement is not sent to a server whose zone is evacuated.
 pub const EVACUATED: &str = "the server's zone is evacuated";
+/// Why a server gets no new statement or transaction.
+pub const CLOSED: &str = "the server's zone is evacuated or the server leaves";
 
 /// Why a statement is not sent to a server that is warming up.
 pub const COLD: &str = "the server is warming up";
@@ -89,8 +91,8 @@
 /// Returns the leader as the destination if this instance may rely on its replies.
 pub fn leader_destination(job: &Job<'_>) -> Destination {
     let leader = job.group.leader();
-    let leader =
-        leader.filter(|leader| job.group.has_proof_of_leadership() && !leader.is_evacuated());
+    let leader = leader
+        .filter(|leader| job.group.has_proof_of_leadership() && !leader.is_closed(job.node.now()));
     let leader = leader.filter(|leader| job.group.may_send(leader));
     leader.map_or(Destination::Unavailable, Destination::Leader)
 }
@@ -149,9 +151,9 @@
         connection.release();
         return Err(Refusal::Final(failure));
     }
-    if server.is_evacuated() {
+    if server.is_closed(job.node.now()) {
         connection.release();
-        return Err(Refusal::Retryable(EVACUATED.to_owned()));
+        return Err(Refusal::Retryable(CLOSED.to_owned()));
     }
     if !job.group.on_send(server) {
         connection.release();
--- a/crates/relay/src/session/transaction.rs
+++ b/crates/relay/src/session/transaction.rs
@@ -320,9 +320,9 @@
             connection.release();
             return Err(Refusal::Final(failure));
         }
-        if server.is_evacuated() {
+        if server.is_closed(job.node.now()) {
             connection.release();
-            return Err(Refusal::Retryable(read::EVACUATED.to_owned()));
+            return Err(Refusal::Retryable(read::CLOSED.to_owned()));
         }
         let sent = job.node.now();
         // At the leader every transaction begins as read-write: only a leader accepts that.
--- a/crates/relay/src/session/write.rs
+++ b/crates/relay/src/session/write.rs
@@ -11,8 +11,8 @@
 use crate::message::State;
 use crate::session::Commit;
 use crate::session::Job;
+use crate::session::read::CLOSED;
 use crate::session::read::COLD;
-use crate::session::read::EVACUATED;
 use crate::session::read::cut_off_failure;
 use crate::session::read::evacuated_failure;
 use crate::session::read::overloaded;
@@ -34,7 +34,7 @@
             return Reply::failed(failure, State::Idle);
         }
         let leader = job.group.leader();
-        let Some(server) = leader.filter(|leader| !leader.is_evacuated()) else {
+        let Some(server) = leader.filter(|leader| !leader.is_closed(job.node.now())) else {
             job.wait_for_change(RETRY_DELAY).await;
             continue;
         };
@@ -76,9 +76,9 @@
         connection.release();
         return Attempt::Answer(Reply::failed(failure, State::Idle));
     }
-    if server.is_evacuated() {
+    if server.is_closed(job.node.now()) {
         connection.release();
-        return Attempt::NotRun(EVACUATED.to_owned());
+        return Attempt::NotRun(CLOSED.to_owned());
     }
     if !job.group.on_send(server) {
         connection.release();
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod deposed;
 mod detector;
+mod drain_bound;
 mod entries;
 mod evacuation;
 mod evacuation_schedule;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -253,6 +253,20 @@
         inner.servers.insert(Arc::from(name), server);
     }
 
+    /// Lets a replica that isn't paused receive what it lacks of the leader's log.
+    pub fn receive(&self, name: &str) {
+        let mut inner = self.lock();
+        let log = inner
+            .leader
+            .as_ref()
+            .map(|leader| inner.servers[leader].log.clone());
+        let server = inner.server(name);
+        if let Some(log) = log.filter(|_| server.paused == 0) {
+            server.applied = log.len();
+            server.log = log;
+        }
+    }
+
     /// Stops a replica from receiving the log, as a failover does.
     pub fn pause(&self, name: &str, term: u64) {
         self.change(name, |server| server.paused = term);
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -382,6 +382,7 @@
     fencing: Fencing,
     opened: Instant,
     evacuation_bound: Option<Span>,
+    drain_bound: Option<Span>,
     /// Whether the instances forward statements to each other.
     is_forwarding: bool,
     /// The zone of the instances. If it is "z", all servers are there too; otherwise each server is
@@ -402,6 +403,7 @@
             fencing: Fencing::Enforced,
             opened: Instant::now(),
             evacuation_bound: None,
+            drain_bound: None,
             is_forwarding: false,
             zone: Mutex::new(Arc::from("z")),
             peers: Mutex::default(),
@@ -413,6 +415,14 @@
         world
     }
 
+    /// Opens a world in which servers that leave get no new statement after `bound`.
+    pub fn open_with_drain_bound(bound: Span) -> Self {
+        Self {
+            drain_bound: Some(bound),
+            ..Self::open()
+        }
+    }
+
     /// Opens a world whose instances follow evacuations; each server is in the zone of its name.
     pub fn open_evacuable(bound: Span) -> Self {
         let world = Self {
@@ -616,6 +626,7 @@
             quota: None,
             fencing: self.fencing,
             evacuation_bound: self.evacuation_bound,
+            drain_bound: self.drain_bound,
             warmup_allowance: Allowance::default(),
             is_forwarding: self.is_forwarding,
             stop_timeout: Span::from_secs(6),
