--- a/crates/relay/src/external/mod.rs
+++ b/crates/relay/src/external/mod.rs
@@ -13,3 +13,4 @@
 pub use promoter::Order;
 pub use promoter::Outcome;
 pub use promoter::Promoter;
+pub use promoter::Validity;
--- a/crates/relay/src/external/promoter.rs
+++ b/crates/relay/src/external/promoter.rs
@@ -1,5 +1,7 @@
 //! The interface to the service that promotes servers.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 
 use crate::Error;
@@ -17,6 +19,18 @@
     pub token: u64,
 }
 
+/// The time in which an order may be sent and answered.
+///
+/// It is measured with a clock that goes on while the process or the machine stands still.
+pub trait Validity: Send + Sync {
+    /// Returns whether the order may be sent now. Nothing of an order is sent without asking this
+    /// directly before.
+    fn may_send(&self) -> bool;
+
+    /// Returns the time until the order must be given up; nothing of it may arrive later.
+    fn time_left(&self) -> Duration;
+}
+
 /// The outcome of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -26,6 +40,8 @@
     Rejected,
     /// Nothing was done; the order may be retried.
     Deferred,
+    /// Nothing was sent: there was no connection in time, or the order is not valid any more.
+    Unsent,
 }
 
 impl Outcome {
@@ -35,6 +51,7 @@
             Self::Done => "done",
             Self::Rejected => "rejected",
             Self::Deferred => "deferred",
+            Self::Unsent => "unsent",
         }
     }
 }
@@ -42,6 +59,9 @@
 /// Promotes servers.
 #[async_trait]
 pub trait Promoter: Send + Sync {
-    /// Sends an order; after an error it may still take effect, now or later.
-    async fn promote(&self, order: &Order) -> Result<Outcome, Error>;
+    /// Sends an order while it is valid; after an error it may still take effect, now or later.
+    ///
+    /// Dropping the future gives the order up: what has not reached the platform's machine by then
+    /// is not delivered any more.
+    async fn promote(&self, order: &Order, validity: &dyn Validity) -> Result<Outcome, Error>;
 }
--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -17,8 +17,8 @@
 use crate::node::Node;
 use crate::node::lock;
 
-/// Age of the last renewal up to which promotions are requested. Another instance takes the lease
-/// over no sooner than 3.5 s after a renewal, and a request takes up to 1.2 s.
+/// Age of the last renewal up to which promotion requests are sent. Another instance takes the lease
+/// over no sooner than 3.5 s after a renewal, and a request is given up after 1.2 s.
 const RENEWAL_MAX_AGE: Span = Span::from_millis(2_000);
 
 /// A failover lease held by this instance.
@@ -60,7 +60,12 @@
 
     /// Returns whether no other instance can have taken the lease over.
     pub fn is_current(&self, now: Time) -> bool {
-        now < self.renewed + RENEWAL_MAX_AGE
+        now < self.current_until()
+    }
+
+    /// Returns when another instance may begin to take the lease over, unless it is renewed.
+    pub fn current_until(&self) -> Time {
+        self.renewed + RENEWAL_MAX_AGE
     }
 
     /// Returns the time since the last successful write of the row began.
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clock::Span;
+use clock::Time;
 use endpoint::Position;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -10,6 +12,7 @@
 
 use crate::external::Order;
 use crate::external::Outcome;
+use crate::external::Validity;
 use crate::failover::Phase;
 use crate::failover::claim::Claim;
 use crate::group::Appointment;
@@ -33,6 +36,27 @@
 /// How long a promoted server may take to prove its leadership.
 const PROOF_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// The time in which an order of this instance may be sent and answered.
+struct Term<'a> {
+    node: &'a Node,
+    order: &'a Order,
+    /// When the order must have been sent.
+    send_deadline: Time,
+    /// When the order is given up.
+    end: Time,
+}
+
+impl Validity for Term<'_> {
+    fn may_send(&self) -> bool {
+        let is_newest = self.node.leases.newest_token(&self.order.group) <= self.order.token;
+        is_newest && self.node.now() < self.send_deadline
+    }
+
+    fn time_left(&self) -> Duration {
+        Duration::from(self.end.since(self.node.now()))
+    }
+}
+
 /// The promotion of a server of one group.
 pub struct Promotion<'a> {
     node: &'a Arc<Node>,
@@ -80,7 +104,13 @@
             let begun = self.node.now();
             let age = claim.age(begun);
             let promoter = &self.node.dependencies.promoter;
-            let given = timeout(REQUEST_TIMEOUT, promoter.promote(&order)).await;
+            let validity = Term {
+                node: self.node,
+                order: &order,
+                send_deadline: self.send_deadline(claim, begun),
+                end: begun + Span::from(REQUEST_TIMEOUT),
+            };
+            let given = timeout(REQUEST_TIMEOUT, promoter.promote(&order, &validity)).await;
             let is_unanswered = !matches!(given, Ok(Ok(_)));
             log::info!(
                 "event=order group={} server={server} token={} attempt={attempt} claim_age_ms={} took_ms={} may_take_effect_later={is_unanswered} answer=\"{given:?}\"",
@@ -101,7 +131,7 @@
                     }
                     return None;
                 }
-                Ok(Ok(Outcome::Deferred)) => {}
+                Ok(Ok(Outcome::Deferred | Outcome::Unsent)) => {}
                 Ok(Err(_)) | Err(_) => is_any_unanswered = true,
             }
             sleep(RETRY_PAUSE).await;
@@ -109,6 +139,16 @@
         None
     }
 
+    /// Returns when an order begun at `begun` must have been sent.
+    fn send_deadline(&self, claim: &Claim, begun: Time) -> Time {
+        let end = begun + Span::from(REQUEST_TIMEOUT);
+        match self.is_unchecked() {
+            // Another instance may order something else later.
+            true => end.min(claim.current_until()),
+            false => end,
+        }
+    }
+
     /// Logs that an order was not given, as the lease may have passed to another instance.
     fn log_withheld(&self, order: &Order, attempt: u32, claim: &Claim) {
         self.node.metrics.order("withheld");
--- a/crates/relay/tests/model/promotion.rs
+++ b/crates/relay/tests/model/promotion.rs
@@ -136,7 +136,7 @@
                 }
                 Step::Release { is_settled: false }
             }
-            Some(Outcome::Deferred) | None => {
+            Some(Outcome::Deferred | Outcome::Unsent) | None => {
                 self.is_unanswered = true;
                 Step::Order { server }
             }
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -14,6 +14,7 @@
 use relay::external::Order;
 use relay::external::Outcome;
 use relay::external::Promoter;
+use relay::external::Validity;
 use relay::message::Definition;
 use tokio::time::Instant;
 
@@ -371,7 +372,10 @@
 
 #[async_trait]
 impl Promoter for Group {
-    async fn promote(&self, order: &Order) -> Result<Outcome, Error> {
+    async fn promote(&self, order: &Order, validity: &dyn Validity) -> Result<Outcome, Error> {
+        if !validity.may_send() {
+            return Ok(Outcome::Unsent);
+        }
         {
             let mut inner = self.lock();
             inner.orders.push(order.clone());
