--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -17,6 +17,7 @@
 mod revocation;
 mod row;
 mod survey;
+mod tenures;
 
 use bound::Bound;
 pub use check::check;
@@ -41,3 +42,4 @@
 pub use row::Rows;
 pub use survey::Choice;
 pub use survey::Survey;
+pub use tenures::Tenures;
