Accept logs below the highest position in a reply once all holders are known

Cause: READY carries the end of the server's log, not the position of the caller's commit. With commits of other sessions under way that no replica has received, the answer names a position that only the primary's log reaches. The survey took it for acknowledged and waited for a log that reaches it.

Change: what proves that a log has every acknowledged commit is the rule of the holders. So that the rule may carry this alone, holders are runs of servers and aren't forgotten by time: a server that starts again under its id counts as a missing holder besides, a removed one or one whose address was taken over counts until a commit is acknowledged that was sent after it was gone, or until a stopped log reaches a position that the primary had afterwards. Where commits are not replicated the 30 s stay.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -143,7 +143,7 @@
             address: Some(node.options.peer),
             token,
             phase,
-            commit_holders: group.commit_holders(now),
+            commit_holders: group.commit_holders(),
             leader: before.as_ref().and_then(|before| before.leader),
             reign,
             end: before
@@ -192,7 +192,7 @@
     pub async fn renew(&mut self, node: &Node, group: &Group, phase: Phase) -> bool {
         let begun = node.now();
         self.lease.phase = phase;
-        self.lease.commit_holders = group.commit_holders(begun);
+        self.lease.commit_holders = group.commit_holders();
         let before = Row {
             key: Lease::key(&group.name),
             value: Arc::from(""),
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -12,13 +12,14 @@
 mod opinion;
 mod promotion;
 mod recheck;
+mod registrations;
 mod replacement;
 mod retirement;
 mod revocation;
 mod row;
 mod survey;
 
-use bound::Bound;
+pub use bound::Bound;
 pub use check::check;
 pub use command::demote;
 pub use command::status;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -28,6 +28,7 @@
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
 use crate::failover::command;
+use crate::failover::registrations;
 use crate::group::Group;
 use crate::group::Server;
 use crate::message::Statement;
@@ -78,6 +79,8 @@
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
     mediation: Mediation,
+    /// When all replicas that may have confirmed an acknowledged commit have written their entries.
+    registered_by: Time,
     /// The term of the last attempt's pause and demote commands.
     command_term: u64,
     /// The servers' answers in the last attempt, for the log.
@@ -98,6 +101,7 @@
             was_replaced: false,
             retirement: None,
             mediation: Mediation::default(),
+            registered_by: Time::default(),
             command_term: 0,
             statuses: Vec::new(),
             is_handover: reason.is_planned(),
@@ -107,6 +111,7 @@
     /// Replaces the primary unless the other instances' views speak against it or no server can be
     /// promoted without losing commits.
     pub async fn run(&mut self) {
+        let asked = self.node.now();
         let views = self
             .node
             .peers
@@ -114,9 +119,15 @@
             .await;
         let old = self.old.as_ref().map(|old| &old.name);
         self.mediation = Mediation::open(&views, old);
-        let mut bound = Bound::open(lock(&self.group.leadership).acknowledged());
+        let answered = self.node.now();
+        let mut bound = self.group.bound();
         for (address, view) in &views {
-            bound.raise(view.acknowledged, Source::View(*address));
+            bound.raise(view.acknowledged, Source::View(*address), answered);
+            if view.acknowledged > Position::default() {
+                // The age is that at the time of the answer, so the commit was not sent earlier.
+                let age = Span::from_millis(view.commit_age_ms);
+                self.group.on_commit_elsewhere(asked - age);
+            }
         }
         let views: Vec<View> = views.into_iter().map(|(_, view)| view).collect();
         let opinion = Opinion::of(&views, old);
@@ -261,6 +272,10 @@
         }
         if let Some(retirement) = &self.retirement {
             let bound = retirement.acknowledged();
+            if bound.registered_by > self.registered_by {
+                survey.is_complete = false;
+                self.registered_by = bound.registered_by;
+            }
             if bound.position > survey.acknowledged {
                 survey.acknowledged = bound.position;
                 self.log_bound(bound);
@@ -325,7 +340,7 @@
     /// the holder of an unfinished replacement listed them.
     fn knows_membership(&self) -> bool {
         let now = self.node.now();
-        let mut known = self.group.commit_holders(now);
+        let mut known = self.group.commit_holders();
         let unfinished = self.node.leases.newest(&self.group.name);
         if let Some(lease) = unfinished.filter(|lease| lease.phase != Phase::Done) {
             known.extend(lease.commit_holders);
@@ -344,6 +359,7 @@
             acknowledged: bound.position,
             ..Survey::default()
         };
+        self.registered_by = bound.registered_by;
         let mut renewed = self.node.now();
         for attempt in 1..=ATTEMPTS_MAX {
             if self.reason == Reason::Silent
@@ -382,6 +398,10 @@
                 self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
+            if !survey.is_complete && survey.is_short() && self.node.now() >= self.registered_by {
+                survey.is_complete =
+                    registrations::are_known(self.node, self.group, &survey.holders).await;
+            }
             let (choice, rule) = match self.requested_earlier(claim) {
                 Some(server) => (Choice::Promote(server), "requested earlier"),
                 None => (survey.choose(), survey.rule()),
@@ -441,7 +461,10 @@
 
     /// Returns whether so many servers besides the old primary answer that one can be chosen.
     async fn reaches_successors(&self) -> bool {
-        let holders = self.group.commit_holders(self.node.now()).len();
+        let covered = self.group.covered_holders();
+        let mut holders = self.group.commit_holders();
+        holders.retain(|name| !covered.contains_key(name));
+        let holders = holders.len();
         let departed = self.group.unconfirmed_departures().len();
         let sync_replicas = lock(&self.group.settings).sync_replicas;
         let needed = match self.mediation.instances().is_empty() {
@@ -564,7 +587,8 @@
 
     /// Stops servers that may still acknowledge commits, and collects the position of each log.
     async fn collect(&mut self, survey: &mut Survey) {
-        survey.holders = self.group.commit_holders(self.node.now());
+        survey.holders = self.group.commit_holders();
+        survey.covered = self.group.covered_holders();
         let servers = self.group.servers();
         survey.leaving = servers
             .iter()
--- a/crates/relay/src/failover/retirement.rs
+++ b/crates/relay/src/failover/retirement.rs
@@ -18,7 +18,6 @@
 use crate::group::LEADER_LEASE;
 use crate::node::Fencing;
 use crate::node::Node;
-use crate::node::lock;
 
 /// Maximum wait for other instances to give up their leader leases in one attempt.
 const REVOCATION_TIMEOUT: Duration = Duration::from_millis(40);
@@ -68,7 +67,7 @@
             revocation: Revocation::open(recorded, lease, names),
             instances: others.unwrap_or_default(),
             token,
-            acknowledged: Bound::open(lock(&group.leadership).acknowledged()),
+            acknowledged: group.bound(),
         }
     }
 
@@ -86,7 +85,8 @@
         for release in given_up {
             self.revocation.on_given_up(&release.instance);
             let source = Source::Release(release.instance);
-            self.acknowledged.raise(release.acknowledged, source);
+            self.acknowledged
+                .raise(release.acknowledged, source, node.now());
         }
     }
 
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -11,6 +11,8 @@
 pub struct Survey {
     /// All servers that may hold acknowledged commits, the old primary among them.
     pub holders: BTreeSet<Arc<str>>,
+    /// Holders that are gone, each with a position at or after every commit that it confirmed.
+    pub covered: BTreeMap<Arc<str>, Position>,
     /// How many replicas must hold a commit before it is acknowledged.
     pub sync_replicas: usize,
     /// The old primary's last position if it was demoted, so that it acknowledges nothing more.
@@ -19,8 +21,11 @@
     pub paused: BTreeMap<Arc<str>, Position>,
     /// Positions received by replicas that are not paused and may receive more.
     pub receiving: BTreeMap<Arc<str>, Position>,
-    /// The highest position of a commit known to have been acknowledged.
+    /// The highest position in a reply that acknowledged a commit. It may be that of a later commit of
+    /// another session that no replica has received.
     pub acknowledged: Position,
+    /// Whether every replica that had confirmed a commit by then would be among `holders` by now.
+    pub is_complete: bool,
     /// Servers that are about to leave or are cold; one is chosen only if no other server qualifies.
     pub leaving: BTreeSet<Arc<str>>,
     /// Servers in evacuated zones; none of them is chosen.
@@ -44,29 +49,34 @@
     ///
     /// A commit is acknowledged once the primary and `sync_replicas` others hold it. It is in the
     /// log of a server that has all of a demoted primary's log, or in the longest of the stopped
-    /// logs if at most `sync_replicas` of the possible holders are missing from these.
+    /// logs if at most `sync_replicas` of the possible holders are missing from these. A log that ends
+    /// before `acknowledged` may still have all of them, as the rest may never have reached a replica;
+    /// but a holder may be unknown, so that needs `is_complete`.
     pub fn choose(&self) -> Choice {
         if let Some(chosen) = self.successor_of_demoted() {
             return Choice::Promote(chosen);
         }
-        let mut stopped = self.paused.clone();
-        stopped.extend(self.demoted.clone());
+        let stopped = self.stopped();
+        let longest = stopped.values().max().copied();
+        let is_covered = |name| self.covered.get(name).copied() <= longest;
         let missing = self
             .holders
             .iter()
             .filter(|name| !stopped.contains_key(*name))
+            .filter(|name| !(self.covered.contains_key(*name) && is_covered(*name)))
             .count();
         if missing > self.sync_replicas {
             return Choice::Wait {
                 why: "too few servers answer",
             };
         }
-        let Some(longest) = stopped.values().max().copied() else {
+        let Some(longest) = longest else {
             return Choice::Wait {
                 why: "no replica answers",
             };
         };
-        if longest < self.acknowledged {
+        // The acknowledged commit itself is in the term of `acknowledged`.
+        if self.is_short() && !(self.is_complete && longest.term == self.acknowledged.term) {
             return Choice::Wait {
                 why: "no replica holds the last acknowledged commit",
             };
@@ -95,6 +105,19 @@
         position.or_else(|| self.receiving.get(server)).copied()
     }
 
+    /// Returns whether all stopped logs end before the highest position in a reply.
+    pub fn is_short(&self) -> bool {
+        let longest = self.stopped().into_values().max();
+        longest.is_some_and(|longest| longest < self.acknowledged)
+    }
+
+    /// Returns the positions of the servers that confirm nothing more.
+    fn stopped(&self) -> BTreeMap<Arc<str>, Position> {
+        let mut stopped = self.paused.clone();
+        stopped.extend(self.demoted.clone());
+        stopped
+    }
+
     fn successor_of_demoted(&self) -> Option<Arc<str>> {
         let (old, end) = self.demoted.as_ref()?;
         let mut logs = self.receiving.clone();
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -27,6 +27,7 @@
 use crate::evacuation::Evacuations;
 use crate::external::Connector;
 use crate::external::Target;
+use crate::failover::Bound;
 use crate::failover::Departed;
 use crate::failover::Departures;
 use crate::failover::Detector;
@@ -48,8 +49,9 @@
 use crate::warmup::Turn;
 use crate::warmup::Warmup;
 
-/// How long a removed server still counts as a possible holder of commits; a crashed server is back
-/// with its log well before that.
+/// How long a removed server is taken to run and confirm commits, since its entry may only have expired
+/// because it doesn't reach the store. One that is not back by then is taken to have stopped when it
+/// was removed.
 const REMOVED_RETENTION: Span = Span::from_secs(30);
 
 /// A leader that has not replied to this instance for this long is probed by it.
@@ -60,7 +62,12 @@
 /// Concurrent statements that an instance may always send to a server.
 const STATEMENTS_MIN: usize = 2;
 
-/// A server whose entry was removed from the store or expired.
+/// A server whose entry was removed from the store or expired, or an earlier run of a server that
+/// started again: the new run need not hold what the earlier one confirmed.
+///
+/// It counts as a possible holder of commits until a commit is acknowledged that was sent after it was
+/// gone, since the servers that confirmed that one hold every earlier one too. Time alone doesn't end
+/// that: in a group without a primary nothing is acknowledged, however long that lasts.
 #[derive(Clone, Debug)]
 struct Removed {
     /// When this instance learned of the removal.
@@ -71,6 +78,23 @@
     stopped: Option<Time>,
 }
 
+impl Removed {
+    /// Returns from when on it confirms no more commits.
+    fn gone(&self, now: Time) -> Time {
+        let retained_until = self.at + REMOVED_RETENTION;
+        let presumed = match now < retained_until {
+            true => retained_until,
+            false => self.at,
+        };
+        self.stopped.unwrap_or(presumed)
+    }
+}
+
+/// Returns the name under which an earlier run of a server counts as a possible holder of commits.
+fn run_name(server: &str, born: u64) -> Arc<str> {
+    Arc::from(format!("{server}@{born}"))
+}
+
 /// One database group.
 pub struct Group {
     /// The group's name.
@@ -85,9 +109,12 @@
     fencing: Fencing,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
-    /// The acknowledged commit whose reply carried the highest position.
+    /// When the latest commit was sent that is known to have been acknowledged, also by other instances.
+    committed_at: Mutex<Time>,
+    /// The commit that this instance acknowledged last.
     last_commit: Mutex<Option<LastCommit>>,
-    /// Servers whose entries were removed, by id; they may still hold commits.
+    /// Servers whose entries were removed, by id, and earlier runs of servers, by `run_name`; they may
+    /// still hold commits.
     removed: Mutex<BTreeMap<Arc<str>, Removed>>,
     /// Chooses the servers for reads.
     balance: Mutex<Balance>,
@@ -134,6 +161,7 @@
             leader_lease: Mutex::default(),
             fencing,
             servers: Mutex::default(),
+            committed_at: Mutex::default(),
             last_commit: Mutex::default(),
             removed: Mutex::default(),
             balance: Mutex::default(),
@@ -243,7 +271,7 @@
             self.remove(name);
             return;
         };
-        lock(&self.removed).remove(name);
+        self.on_registered_again(name, entry.born);
         self.remove_replaced(name, &entry);
         let known = self.server(name);
         if let Some(server) = known {
@@ -260,8 +288,12 @@
                 self.changed.notify_waiters();
                 return;
             }
+            let former = current.born;
             drop(current);
             server.pool.close();
+            if former != entry.born {
+                self.on_restarted(name, former);
+            }
         }
         log::info!(
             "event=server-joined group={} server={name} address={} role={} born={}",
@@ -312,21 +344,96 @@
         }
     }
 
-    /// Returns the ids of all servers that may hold acknowledged commits.
-    pub fn commit_holders(&self, now: Time) -> BTreeSet<Arc<str>> {
+    /// Returns the ids of all servers, and the names of earlier runs, that may hold acknowledged commits.
+    pub fn commit_holders(&self) -> BTreeSet<Arc<str>> {
         let mut holders: BTreeSet<Arc<str>> = lock(&self.servers).keys().cloned().collect();
+        let now = self.clock.now();
+        let is_replicated = self.has_replicated_commits();
         let mut removed = lock(&self.removed);
+        // Where commits are not replicated, a lost primary may take some with it, so it blocks a
+        // replacement only for a while.
         removed.retain(|name, server| {
-            let is_kept = now < server.at + REMOVED_RETENTION;
+            let is_kept = is_replicated || now < server.at + REMOVED_RETENTION;
             if !is_kept {
                 self.log_dropped(name, "retention");
             }
             is_kept
         });
-        holders.extend(removed.keys().cloned());
+        drop(removed);
+        self.drop_holders();
+        holders.extend(lock(&self.removed).keys().cloned());
         holders
     }
 
+    /// Returns the possible holders of commits that are gone, each with a position that the primary's
+    /// log reached afterwards. A log that reaches it has every commit that such a server confirmed.
+    pub fn covered_holders(&self) -> BTreeMap<Arc<str>, Position> {
+        let now = self.clock.now();
+        let leadership = lock(&self.leadership);
+        lock(&self.removed)
+            .iter()
+            .filter_map(|(name, server)| {
+                let position = leadership.floor(server.gone(now))?;
+                Some((Arc::clone(name), position))
+            })
+            .collect()
+    }
+
+    /// Applies that a commit which another instance sent at `sent` or later was acknowledged.
+    pub fn on_commit_elsewhere(&self, sent: Time) {
+        self.on_committed(sent);
+    }
+
+    fn on_committed(&self, sent: Time) {
+        let mut committed_at = lock(&self.committed_at);
+        *committed_at = committed_at.max(sent);
+        drop(committed_at);
+        self.drop_holders();
+    }
+
+    /// Drops servers that were gone before the latest acknowledged commit was sent: the servers that
+    /// confirmed it hold every earlier commit too.
+    fn drop_holders(&self) {
+        let now = self.clock.now();
+        let committed_at = *lock(&self.committed_at);
+        lock(&self.removed).retain(|name, server| {
+            let is_kept = committed_at <= server.gone(now);
+            if !is_kept {
+                self.log_dropped(name, "later-commit");
+            }
+            is_kept
+        });
+    }
+
+    /// Applies that a server is registered, whose entry may have been missing.
+    fn on_registered_again(&self, name: &Arc<str>, born: u64) {
+        let former = lock(&self.removed).remove(name);
+        let former = former.and_then(|former| former.entry);
+        if let Some(entry) = former.filter(|entry| entry.born != born) {
+            self.on_restarted(name, entry.born);
+        }
+    }
+
+    /// Counts the ended run of a server that started again as a possible holder of commits, and as no
+    /// leader.
+    fn on_restarted(&self, name: &Arc<str>, born: u64) {
+        log::info!(
+            "event=server-restarted group={} server={name} former={born}",
+            self.name
+        );
+        self.on_not_leader(name);
+        if !self.has_replicated_commits() {
+            return;
+        }
+        let now = self.clock.now();
+        let former = Removed {
+            at: now,
+            entry: None,
+            stopped: Some(now),
+        };
+        lock(&self.removed).insert(run_name(name, born), former);
+    }
+
     /// Returns the departed servers that still count as possible holders of commits.
     pub fn departed(&self, now: Time) -> Departed {
         lock(&self.removed)
@@ -702,33 +809,26 @@
     /// Applies a commit, sent at `sent`, that the leader acknowledged.
     pub fn on_commit(&self, sent: Time, server: &Arc<str>, position: Position) {
         self.on_proof(sent, server, position);
-        let is_highest = {
-            let mut leadership = lock(&self.leadership);
-            let is_highest = position > leadership.acknowledged();
-            leadership.on_acknowledged(sent, position);
-            is_highest
-        };
-        if is_highest {
-            let unanswered = self
-                .server(server)
-                .map_or(0, |server| lock(&server.health).outstanding_commits());
-            *lock(&self.last_commit) = Some(LastCommit {
-                server: Arc::clone(server),
-                acknowledged_at: self.clock.now(),
-                unanswered,
-            });
-        }
-        // The servers that acknowledged it hold every earlier commit too.
-        lock(&self.removed).retain(|name, server| {
-            let is_kept = server.stopped.is_none_or(|stopped| sent <= stopped);
-            if !is_kept {
-                self.log_dropped(name, "later-commit");
-            }
-            is_kept
+        lock(&self.leadership).on_acknowledged(sent, position);
+        let unanswered = self
+            .server(server)
+            .map_or(0, |server| lock(&server.health).outstanding_commits());
+        *lock(&self.last_commit) = Some(LastCommit {
+            server: Arc::clone(server),
+            acknowledged_at: self.clock.now(),
+            unanswered,
         });
+        self.on_committed(sent);
     }
 
-    /// Returns the acknowledged commit whose reply carried the highest position.
+    /// Returns the highest position in a reply that acknowledged a commit to this instance.
+    pub fn bound(&self) -> Bound {
+        let position = lock(&self.leadership).acknowledged();
+        let last = self.last_commit();
+        Bound::open(position, last.map(|last| last.acknowledged_at))
+    }
+
+    /// Returns the commit that this instance acknowledged last.
     pub fn last_commit(&self) -> Option<LastCommit> {
         lock(&self.last_commit).clone()
     }
@@ -749,7 +849,7 @@
         }
     }
 
-    /// Removes servers whose address was taken over by another one; their logs are gone.
+    /// Removes servers whose address was taken over by another one, which need not have their logs.
     fn remove_replaced(&self, name: &Arc<str>, entry: &settings::Server) {
         let is_replaced = |former: &Arc<str>, address| former != name && address == entry.address;
         let formers: Vec<Arc<str>> = self
@@ -761,14 +861,15 @@
         for former in formers {
             self.remove(&former);
         }
-        lock(&self.removed).retain(|former, server| {
+        let now = self.clock.now();
+        for (former, server) in &mut *lock(&self.removed) {
             let address = server.entry.as_ref().map(|entry| entry.address);
-            let is_kept = address.is_none_or(|address| !is_replaced(former, address));
-            if !is_kept {
-                self.log_dropped(former, "address-taken-over");
+            if address.is_some_and(|address| is_replaced(former, address)) {
+                server.stopped = Some(now);
+                // Nobody needs to find out whether it still runs.
+                server.entry = None;
             }
-            is_kept
-        });
+        }
     }
 
     fn remove(&self, name: &Arc<str>) {
--- a/crates/relay/src/group/last_commit.rs
+++ b/crates/relay/src/group/last_commit.rs
@@ -1,17 +1,17 @@
-//! The commit whose reply carried the highest position.
+//! The commit that an instance acknowledged last.
 
 use std::sync::Arc;
 
 use clock::Time;
 
-/// The commit whose reply carried the highest position that this instance has received.
+/// The commit that an instance acknowledged last.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LastCommit {
-    /// The server that acknowledged it.
+    /// The server that ran it.
     pub server: Arc<str>,
-    /// When this instance acknowledged it to the caller.
+    /// When the instance acknowledged it to the caller.
     pub acknowledged_at: Time,
-    /// The other commits that this instance had sent to the server and that were unanswered then. The
-    /// position may be that of one of them, or of another instance's commit.
+    /// The other commits that the instance had sent to the server and that were unanswered then. The
+    /// position in the reply may be that of one of them, or of another instance's commit.
     pub unanswered: usize,
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod background;
 mod balance;
+mod commit_holders;
 mod confirmations;
 mod departures;
 mod deposed;
--- a/crates/relay/tests/relay/survey.rs
+++ b/crates/relay/tests/relay/survey.rs
@@ -112,3 +112,24 @@
     survey.sync_replicas = 0;
     assert!(is_wait(&survey.choose()));
 }
+
+/// The highest position in a reply may be that of a record which no replica received.
+#[test]
+fn a_shorter_log_is_enough_once_all_holders_are_known() {
+    let mut survey = survey(&["p", "a", "b"], &[("a", 57), ("b", 56)]);
+    survey.acknowledged = position(58);
+    assert!(is_wait(&survey.choose()));
+    survey.is_complete = true;
+    assert_eq!(survey.choose(), promote("a"));
+    survey.acknowledged = Position { term: 2, offset: 3 };
+    assert!(is_wait(&survey.choose()), "a holder of term 2 lost its log");
+}
+
+#[test]
+fn a_holder_that_is_gone_counts_until_a_log_has_all_that_it_confirmed() {
+    let mut survey = survey(&["p", "a", "b", "d"], &[("a", 57), ("b", 57)]);
+    survey.covered = logs(&[("d", 58)]);
+    assert!(is_wait(&survey.choose()));
+    survey.covered = logs(&[("d", 57)]);
+    assert_eq!(survey.choose(), promote("a"));
+}
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -105,6 +105,9 @@
     pub(super) sets_left: Option<usize>,
     /// Whether a replaced primary goes on as one until it is demoted.
     pub(super) keeps_deposed: bool,
+    /// Whether the primary appends a record that no replica has received before it replies to a
+    /// caller's next statement; the reply names the end of the log.
+    pub(super) overtakes_next: bool,
     /// Whether promotion orders have no effect and no answer.
     pub(super) loses_orders: bool,
     /// The instances that have begun a transaction of their own.
@@ -217,6 +220,23 @@
         self.change(name, |server| server.is_lagging = is_lagging);
     }
 
+    /// Has the primary append another session's record, which no replica has received, before it
+    /// replies to a caller's next statement.
+    pub fn overtake_next(&self) {
+        self.lock().overtakes_next = true;
+    }
+
+    /// Starts a crashed server without its log; it is a replica.
+    pub fn restart_empty(&self, name: &str) {
+        let mut inner = self.lock();
+        inner.crashed_primary.take_if(|crashed| **crashed == *name);
+        let server = inner.server(name);
+        server.is_down = false;
+        server.paused = 0;
+        server.log.clear();
+        server.applied = 0;
+    }
+
     /// Loses the reply to the next statement of a caller after it ran.
     pub fn lose_answer(&self) {
         self.lock().loses_answer = true;
@@ -253,6 +273,15 @@
         inner.servers.insert(Arc::from(name), server);
     }
 
+    /// Adds a replica that has received nothing.
+    pub fn add_empty(&self, name: &str) {
+        let server = Server {
+            is_isolated: true,
+            ..Server::default()
+        };
+        self.lock().servers.insert(Arc::from(name), server);
+    }
+
     /// Stops a replica from receiving the log, as a failover does.
     pub fn pause(&self, name: &str, term: u64) {
         self.change(name, |server| server.paused = term);
@@ -357,6 +386,20 @@
         holders > 0
     }
 
+    /// Executes `overtake_next` at the leader.
+    pub(super) fn overtake(&mut self) {
+        let is_due = std::mem::take(&mut self.overtakes_next);
+        let Some(leader) = self.leader.clone().filter(|_| is_due) else {
+            return;
+        };
+        let term = self.term;
+        let head = self.server(&leader);
+        let offset = head.received().offset + 1;
+        let record = (Position { term, offset }, String::new(), String::new());
+        head.log.push(record);
+        head.applied = head.log.len();
+    }
+
     pub(super) fn status(&self, name: &Arc<str>) -> String {
         let server = &self.servers[name];
         let role = match self.leads(name) {
--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -506,6 +506,18 @@
         );
     }
 
+    /// Writes the entry of a server that started again at `born`.
+    pub fn set_restarted_entry(&self, name: &str, port: u16, born: u64, is_draining: bool) {
+        self.put_entry(
+            name,
+            settings::Server {
+                born,
+                is_draining,
+                ..self.entry(name, port)
+            },
+        );
+    }
+
     /// Writes the entry of a server that stays cold for a while.
     pub fn set_cold_entry(&self, name: &str, port: u16, warmup_left_ms: u64) {
         self.put_entry(
--- a/crates/relay/tests/relay/world/link.rs
+++ b/crates/relay/tests/relay/world/link.rs
@@ -132,6 +132,9 @@
         if request.id.is_none() && matches!(request.statement, Statement::Begin { .. }) {
             inner.probers.insert(Arc::clone(&self.instance));
         }
+        if request.id.is_some() && is_leader && outcome.is_ok() {
+            inner.overtake();
+        }
         if let Some(id) = &request.id {
             inner.runs.push(Run {
                 instance: Arc::clone(&self.instance),
