Trust the log of a demoted primary only if that run led

Change: the position of a demoted server is the end of the primary's log only if this run of it was proven to lead and it reaches every position that the primary has named in a reply; otherwise it counts as one of the stopped logs. A later run of the old primary is surveyed as any other server, and takes part in the check that enough servers answer. Among the servers with the whole log the longest is chosen.

Measured: 78 tests of relay (commit_holders, survey, departures, replacement, restarted_primary, deposed, replaced_while_used, registrations) pass.

--- a/crates/relay/src/failover/registrations.rs
+++ b/crates/relay/src/failover/registrations.rs
@@ -9,7 +9,6 @@
 use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
 use crate::node::Node;
-use crate::node::lock;
 
 /// Reads the entries and returns whether the group's are those of runs that are `known` already.
 pub async fn are_known(node: &Node, group: &Group, known: &BTreeSet<Arc<str>>) -> bool {
@@ -28,7 +27,7 @@
         (entry.group == group.name).then_some((&change.name, entry))
     });
     registered.all(|(name, entry)| {
-        let born = group.server(name).map(|server| lock(&server.entry).born);
+        let born = group.server(name).map(|server| server.born());
         known.contains(name) && born == Some(entry.born)
     })
 }
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -385,7 +385,7 @@
             }
             if self.reason.is_planned()
                 && attempt >= DEMOTION_ATTEMPTS_MAX
-                && survey.demoted.is_none()
+                && !survey.has_whole_log()
             {
                 // It or its zone may have failed; then only paused replicas prove what was acknowledged.
                 log::info!("event=primary-not-demoted group={}", self.group.name);
@@ -457,6 +457,8 @@
         let demoted = mediation.request(self.node, self.group, old, term).await;
         self.is_handover |= demoted.is_some();
         survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
+        let current = self.group.server(&old.name);
+        survey.is_unproven = !current.is_some_and(|server| self.group.has_led(&server));
     }
 
     /// Returns whether so many servers besides the old primary answer that one can be chosen.
@@ -473,10 +475,9 @@
             false => 1,
         };
         let servers = self.group.servers();
-        let old = self.old.as_ref().map(|old| &old.name);
         let mut answers: FuturesUnordered<_> = servers
             .iter()
-            .filter(|server| Some(&server.name) != old)
+            .filter(|server| !self.is_old(server))
             .map(|server| command::run_pooled(self.node, server, &Statement::Status))
             .collect();
         let mut answered = 0;
@@ -611,7 +612,7 @@
         let leaves_old_alone = self.reason == Reason::Silent
             || (survey.demoted.is_some() && !self.reason.is_planned());
         let requests = servers.iter().map(|server| async move {
-            let is_old = this.old.as_ref().is_some_and(|old| old.name == server.name);
+            let is_old = this.is_old(server);
             let statement = match (is_old, this.is_handover) {
                 (true, _) if leaves_old_alone => return (server, true, None),
                 (true, _) => Statement::Demote { term },
@@ -644,6 +645,7 @@
                 self.on_other_primary(server, term).await;
             } else if is_old {
                 survey.demoted = Some((name, status.received));
+                survey.is_unproven = !self.group.has_led(server);
             } else if status.paused_term > 0 {
                 survey.paused.insert(name, status.received);
             } else {
@@ -652,6 +654,13 @@
         }
     }
 
+    /// Returns whether a server is the old primary, rather than a later run of it that may lack its log.
+    fn is_old(&self, server: &Server) -> bool {
+        let old = self.old.as_ref();
+        old.is_some_and(|old| old.name == server.name)
+            && !self.group.has_restarted_since_led(server)
+    }
+
     /// Handles a server other than the old primary that acts as primary.
     async fn on_other_primary(&mut self, server: &Arc<Server>, term: u64) {
         if self.is_unchecked() && self.old.is_none() && !self.was_replaced {
@@ -735,7 +744,7 @@
 
 /// Describes a server's answer in a survey, for the log.
 fn describe(server: &Server, status: Option<&Status>) -> String {
-    let born = lock(&server.entry).born;
+    let born = server.born();
     let Some(status) = status else {
         return format!("{}:born={born},silent", server.name);
     };
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -1,5 +1,6 @@
 //! Chooses a server that can become primary without losing an acknowledged commit.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -17,6 +18,9 @@
     pub sync_replicas: usize,
     /// The old primary's last position if it was demoted, so that it acknowledges nothing more.
     pub demoted: Option<(Arc<str>, Position)>,
+    /// Whether the demoted server was not seen leading since its start, so that its log need not have
+    /// every acknowledged commit: it may have started again without its log.
+    pub is_unproven: bool,
     /// Positions received by paused replicas, which acknowledge nothing more.
     pub paused: BTreeMap<Arc<str>, Position>,
     /// Positions received by replicas that are not paused and may receive more.
@@ -48,7 +52,7 @@
     /// Chooses a server that holds every acknowledged commit.
     ///
     /// A commit is acknowledged once the primary and `sync_replicas` others hold it. It is in the
-    /// log of a server that has all of a demoted primary's log, or in the longest of the stopped
+    /// log of a server that has all of the demoted primary's log, or in the longest of the stopped
     /// logs if at most `sync_replicas` of the possible holders are missing from these. A log that ends
     /// before `acknowledged` may still have all of them, as the rest may never have reached a replica;
     /// but a holder may be unknown, so that needs `is_complete`.
@@ -118,16 +122,24 @@
         stopped
     }
 
+    /// Returns whether the demoted server's log is known to have every acknowledged commit.
+    pub fn has_whole_log(&self) -> bool {
+        let demoted = self.demoted.as_ref();
+        // The primary's own log reaches each position that it has named in a reply.
+        let reaches_replies = demoted.is_some_and(|(_, end)| *end >= self.acknowledged);
+        reaches_replies && !self.is_unproven
+    }
+
     fn successor_of_demoted(&self) -> Option<Arc<str>> {
-        let (old, end) = self.demoted.as_ref()?;
+        let (old, end) = self.demoted.as_ref().filter(|_| self.has_whole_log())?;
         let mut logs = self.receiving.clone();
         logs.extend(self.paused.clone());
         logs.remove(old);
         self.best_candidate(&logs, *end)
     }
 
-    /// Returns a server whose log reaches `end`, preferring one that is not leaving, outside the
-    /// evacuated zones.
+    /// Returns a server whose log reaches `end`, outside the evacuated zones, preferring one that is
+    /// not leaving, then the one with the longest log.
     fn best_candidate(
         &self,
         logs: &BTreeMap<Arc<str>, Position>,
@@ -135,7 +147,7 @@
     ) -> Option<Arc<str>> {
         logs.iter()
             .filter(|(name, position)| **position >= end && !self.evacuated.contains(*name))
-            .min_by_key(|(name, _)| self.leaving.contains(*name))
+            .min_by_key(|(name, position)| (self.leaving.contains(*name), Reverse(**position)))
             .map(|(name, _)| Arc::clone(name))
     }
 }
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -109,6 +109,8 @@
     fencing: Fencing,
     /// Its servers, by id.
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
+    /// The server that was proven to lead last, and when that run of it started.
+    led: Mutex<Option<(Arc<str>, u64)>>,
     /// When the latest commit was sent that is known to have been acknowledged, also by other instances.
     committed_at: Mutex<Time>,
     /// The commit that this instance acknowledged last.
@@ -161,6 +163,7 @@
             leader_lease: Mutex::default(),
             fencing,
             servers: Mutex::default(),
+            led: Mutex::default(),
             committed_at: Mutex::default(),
             last_commit: Mutex::default(),
             removed: Mutex::default(),
@@ -657,6 +660,9 @@
                 leadership.on_claim(sent, server, position)
             }
         };
+        if is_only_leader {
+            self.on_led(server);
+        }
         self.is_leader_unreachable.store(false, Ordering::Relaxed);
         if is_new {
             log::info!(
@@ -673,7 +679,9 @@
         if !self.admits(server) || self.has_silent_leader() {
             return;
         }
-        if lock(&self.leadership).on_proof(sent, server, position) {
+        let is_new = lock(&self.leadership).on_proof(sent, server, position);
+        self.on_led(server);
+        if is_new {
             log::info!(
                 "event=leader-reported group={} server={server} position={position}",
                 self.name
@@ -682,6 +690,38 @@
         }
     }
 
+    /// Records which run of the leader was proven to lead.
+    fn on_led(&self, server: &Arc<str>) {
+        if lock(&self.leadership).server() != Some(server) {
+            // The proof was late.
+            return;
+        }
+        let Some(born) = self.server(server).map(|server| server.born()) else {
+            return;
+        };
+        let mut led = lock(&self.led);
+        let is_known = led
+            .as_ref()
+            .is_some_and(|(name, since)| name == server && *since == born);
+        if !is_known {
+            *led = Some((Arc::clone(server), born));
+        }
+    }
+
+    /// Returns whether this run of a server was proven to lead, and no other one since.
+    pub fn has_led(&self, server: &Server) -> bool {
+        let led = lock(&self.led);
+        led.as_ref()
+            .is_some_and(|(name, born)| *name == server.name && *born == server.born())
+    }
+
+    /// Returns whether a server started again after it was proven to lead.
+    pub fn has_restarted_since_led(&self, server: &Server) -> bool {
+        let led = lock(&self.led);
+        led.as_ref()
+            .is_some_and(|(name, born)| *name == server.name && *born != server.born())
+    }
+
     /// Records that another server may lead than this instance believes.
     pub fn on_other_leader(&self, server: &str) {
         if let Some(leader) = self.leader().filter(|leader| *leader.name != *server) {
--- a/crates/relay/src/group/server.rs
+++ b/crates/relay/src/group/server.rs
@@ -29,6 +29,11 @@
 }
 
 impl Server {
+    /// Returns when the server started, in milliseconds of the wall clock.
+    pub fn born(&self) -> u64 {
+        lock(&self.entry).born
+    }
+
     /// Returns whether the server is about to leave.
     pub fn is_draining(&self) -> bool {
         lock(&self.entry).is_draining
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -26,6 +26,7 @@
 mod replacement;
 mod replacement_schedule;
 mod reports;
+mod restarted_primary;
 mod schedule;
 mod sessions;
 mod settings_schedule;
--- a/crates/relay/tests/relay/survey.rs
+++ b/crates/relay/tests/relay/survey.rs
@@ -133,3 +133,36 @@
     survey.covered = logs(&[("d", 57)]);
     assert_eq!(survey.choose(), promote("a"));
 }
+
+/// A server that had started again without its log, or had taken over the former primary's address, was
+/// taken for it; every replica had all of its log, and the first by name was promoted.
+#[test]
+fn a_demoted_server_that_lacks_an_acknowledged_commit_is_not_the_former_primary() {
+    let mut survey = survey(&["p", "a", "b"], &[]);
+    survey.acknowledged = position(57);
+    survey.demoted = Some((Arc::from("p"), position(0)));
+    survey.receiving = logs(&[("a", 12), ("b", 57)]);
+    assert!(is_wait(&survey.choose()));
+    survey.receiving.clear();
+    survey.paused = logs(&[("a", 12), ("b", 57)]);
+    assert_eq!(survey.choose(), promote("b"));
+}
+
+#[test]
+fn of_the_servers_with_the_whole_log_of_a_demoted_primary_the_longest_is_chosen() {
+    let mut survey = survey(&["p", "a", "b"], &[]);
+    survey.demoted = Some((Arc::from("p"), position(60)));
+    survey.receiving = logs(&[("a", 60), ("b", 61)]);
+    assert_eq!(survey.choose(), promote("b"));
+}
+
+#[test]
+fn a_demoted_server_that_was_not_seen_leading_since_its_start_proves_nothing() {
+    let mut survey = survey(&["p", "a", "b"], &[]);
+    survey.demoted = Some((Arc::from("p"), position(0)));
+    survey.is_unproven = true;
+    survey.receiving = logs(&[("a", 12), ("b", 57)]);
+    assert!(is_wait(&survey.choose()));
+    survey.is_unproven = false;
+    assert_eq!(survey.choose(), promote("b"));
+}
