Go on with a primary that is back at its address while it is replaced

Evidence: before, the_appointed_primary_is_not_demoted_when_it_is_back ended with a promoted in place of the primary, and a_primary_that_starts_again_with_its_log_ends_its_replacement had a gap of writes of 10.4 s where fences are checked and no write in 30 s where they are not (bound 4 s).

Change: a server that acts as primary at the address which the table names as the leader's, with no promotion pending, is the old primary of a replacement that knew none. The old primary is looked up anew before each probe.

Measured: the tests above and those of deposed, replacement and restarts pass.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,5 +1,6 @@
 //! The steps of replacing a group's primary.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -75,6 +76,8 @@
     term: u64,
     /// Whether the group's primary was ever replaced.
     was_replaced: bool,
+    /// The address of the leader that the table names, unless another promotion may be pending.
+    appointed: Option<SocketAddr>,
     /// The end of the instances' reliance on the old primary; `None` until the lease is held.
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
@@ -99,6 +102,7 @@
             old: group.leader(),
             term: lock(&group.leadership).term(),
             was_replaced: false,
+            appointed: None,
             retirement: None,
             mediation: Mediation::default(),
             registered_by: Time::default(),
@@ -239,6 +243,8 @@
     /// primary has been replaced; returns whether it still must be.
     fn take_appointed(&mut self, claim: &Claim) -> bool {
         self.was_replaced = claim.lease.leader.is_some() || claim.lease.requested.is_some();
+        let is_pending = claim.lease.requested.is_some();
+        self.appointed = claim.lease.leader.filter(|_| !is_pending);
         if let Some(address) = claim.lease.leader {
             let appointed = self.group.server_at(address);
             let is_other = match (&self.old, &appointed) {
@@ -546,7 +552,13 @@
     /// token. That changes nothing at the server, but has the earlier promotion rejected before the
     /// replicas resume. Otherwise no promotion is requested: it takes effect with a delay and would
     /// reinstate the server even if it had been demoted meanwhile.
-    async fn recovered_primary(&self, claim: &mut Claim) -> Option<Arc<str>> {
+    async fn recovered_primary(&mut self, claim: &mut Claim) -> Option<Arc<str>> {
+        // It may have started again, which closes the connections to its former run.
+        if let Some(old) = &self.old
+            && let Some(current) = self.group.server(&old.name)
+        {
+            self.old = Some(current);
+        }
         let old = self.old.as_ref()?;
         if self
             .requested_earlier(claim)
@@ -663,8 +675,11 @@
 
     /// Handles a server other than the old primary that acts as primary.
     async fn on_other_primary(&mut self, server: &Arc<Server>, term: u64) {
-        if self.is_unchecked() && self.old.is_none() && !self.was_replaced {
-            // The group has had no other primary, so this one only was not found.
+        let is_first = self.old.is_none() && !self.was_replaced;
+        let is_appointed = self.appointed == Some(lock(&server.entry).address);
+        if self.is_unchecked() && (is_first || is_appointed) {
+            // Either the group has had no other primary, so this one only was not found, or the latest
+            // one is back with its log.
             self.old = Some(Arc::clone(server));
             self.reason = Reason::Silent;
             self.believe(Some(server));
