Raise the term of PAUSE and DEMOTE until they take effect

Cause: a promoted server's positions stay in the earlier term until its first commit. The term of the commands was one above the newest that any position or status had shown, which the servers had seen already, so they had no effect.

Change: if a server answers a command and is neither paused nor demoted, the next attempt's term is higher, in growing steps. Not covered: a demotion through other instances whose term is too low is not repeated with a higher one; the replicas are paused then, as without it.

Measured: the tests of restarts, deposed primaries, replacement and partition_schedule pass.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -84,6 +84,10 @@
     mediation: Mediation,
     /// When all replicas that may have confirmed an acknowledged commit have written their entries.
     registered_by: Time,
+    /// Servers that answered the last attempt's pause or demote commands and did not follow them.
+    ineffective_commands: u32,
+    /// How often the term of the commands was raised since one had no effect.
+    term_raises: u64,
     /// The term of the last attempt's pause and demote commands.
     command_term: u64,
     /// The servers' answers in the last attempt, for the log.
@@ -106,6 +110,8 @@
             retirement: None,
             mediation: Mediation::default(),
             registered_by: Time::default(),
+            ineffective_commands: 0,
+            term_raises: 0,
             command_term: 0,
             statuses: Vec::new(),
             is_handover: reason.is_planned(),
@@ -496,6 +502,24 @@
         false
     }
 
+    /// Raises the term of the next attempt's commands if one of `term` had no effect at a server that
+    /// answered: it has seen a newer term than its log and status tell, as a promoted server's positions
+    /// stay in the earlier term until its first commit.
+    fn raise_term(&mut self, term: u64) {
+        if self.ineffective_commands == 0 {
+            return;
+        }
+        self.ineffective_commands = 0;
+        self.term_raises += 1;
+        // The steps grow, so that a term far above is reached within the attempts of one replacement.
+        self.term = self.term.max(term + self.term_raises - 1);
+        log::info!(
+            "event=failover-term-raised group={} from={term} to={}",
+            self.group.name,
+            self.term + 1
+        );
+    }
+
     /// Returns a term above every one that this instance knows of.
     fn next_term(&self, survey: &Survey) -> u64 {
         self.term.max(survey.acknowledged.term) + 1
@@ -653,6 +677,12 @@
             };
             let name = Arc::clone(&server.name);
             self.term = self.term.max(status.term).max(status.paused_term);
+            let is_commanded = is_old || !self.is_handover;
+            let is_followed = match is_old {
+                true => status.role == Role::Replica,
+                false => status.role == Role::Primary || status.paused_term > 0,
+            };
+            self.ineffective_commands += u32::from(is_commanded && !is_followed);
             if status.role == Role::Primary {
                 self.on_other_primary(server, term).await;
             } else if is_old {
@@ -664,6 +694,7 @@
                 survey.receiving.insert(name, status.received);
             }
         }
+        self.raise_term(term);
     }
 
     /// Returns whether a server is the old primary, rather than a later run of it that may lack its log.
@@ -685,7 +716,9 @@
             self.believe(Some(server));
         } else if self.is_unchecked() {
             // It has been replaced and was not demoted yet.
-            self.run_command(server, &Statement::Demote { term }).await;
+            let status = self.run_command(server, &Statement::Demote { term }).await;
+            let is_demoted = status.is_none_or(|status| status.role == Role::Replica);
+            self.ineffective_commands += u32::from(!is_demoted);
         } else {
             // It leads in a term that this instance doesn't know yet.
             task::leader::probe(self.node, self.group, server).await;
--- a/crates/relay/tests/relay/restarted_primary.rs
+++ b/crates/relay/tests/relay/restarted_primary.rs
@@ -142,3 +142,25 @@
     assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
     assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
 }
+
+/// A promoted server's positions stay in the earlier term until its first commit, so a replacement of it
+/// paused replicas with a term that they had already seen, which had no effect.
+#[test_case(World::open(); "fences are checked")]
+#[test_case(World::open_unchecked(); "fences are unchecked")]
+#[tokio::test(start_paused = true)]
+async fn a_promoted_server_that_has_committed_nothing_is_replaced(world: World) {
+    world.group.report_log_terms();
+    let instance = world.start("i1").await;
+    let mut client = instance.connect("orders").await;
+    client.write("x", "kept").await.expect("a write");
+    world.group.crash("a");
+    sleep(Duration::from_secs(6)).await;
+    let leader = world.group.leader().expect("a successor");
+    world.group.restart("a");
+    sleep(Duration::from_secs(1)).await;
+    world.group.crash(&leader);
+    let gap = write_until_success(&mut client).await;
+    assert!(gap < WRITE_GAP_MAX, "the gap was {gap:?}");
+    assert_eq!(client.read("x").await.as_deref(), Ok("kept"));
+    assert_eq!(world.group.lost(), 0, "no acknowledged write is lost");
+}
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -108,6 +108,8 @@
     /// Whether the primary appends a record that no replica has received before it replies to a
     /// caller's next statement; the reply names the end of the log.
     pub(super) overtakes_next: bool,
+    /// Whether a server reports the term of its last record in place of the newest one.
+    pub(super) reports_log_terms: bool,
     /// Whether promotion orders have no effect and no answer.
     pub(super) loses_orders: bool,
     /// The instances that have begun a transaction of their own.
@@ -226,6 +228,11 @@
         self.lock().overtakes_next = true;
     }
 
+    /// Has servers report the terms of their last records.
+    pub fn report_log_terms(&self) {
+        self.lock().reports_log_terms = true;
+    }
+
     /// Starts a crashed server without its log; it is a replica.
     pub fn restart_empty(&self, name: &str) {
         let mut inner = self.lock();
@@ -408,7 +415,11 @@
         };
         let received = server.received();
         let (term, offset) = (received.term, received.offset);
-        format!("{role} {} {term}.{offset} {}", self.term, server.paused)
+        let reported = match self.reports_log_terms {
+            true => term,
+            false => self.term,
+        };
+        format!("{role} {reported} {term}.{offset} {}", server.paused)
     }
 }
 
