--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -12,6 +12,7 @@
 mod opinion;
 mod promotion;
 mod recheck;
+mod registrations;
 mod replacement;
 mod retirement;
 mod revocation;
@@ -19,7 +20,7 @@
 mod survey;
 mod tenures;
 
-use bound::Bound;
+pub use bound::Bound;
 pub use check::check;
 pub use command::demote;
 pub use command::status;
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -1,5 +1,6 @@
 //! The steps of replacing a group's primary.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
 use crate::failover::command;
+use crate::failover::registrations;
 use crate::group::Group;
 use crate::group::Server;
 use crate::message::Statement;
@@ -74,10 +76,18 @@
     term: u64,
     /// Whether the group's primary was ever replaced.
     was_replaced: bool,
+    /// The address of the leader that the table names, unless another promotion may be pending.
+    appointed: Option<SocketAddr>,
     /// The end of the instances' reliance on the old primary; `None` until the lease is held.
     retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
     mediation: Mediation,
+    /// When all replicas that may have confirmed an acknowledged commit have written their entries.
+    registered_by: Time,
+    /// Servers that answered the last attempt's pause or demote commands and did not follow them.
+    ineffective_commands: u32,
+    /// How often the term of the commands was raised since one had no effect.
+    term_raises: u64,
     /// The term of the last attempt's pause and demote commands.
     command_term: u64,
     /// The servers' answers in the last attempt, for the log.
@@ -96,8 +106,12 @@
             old: group.leader(),
             term: lock(&group.leadership).term(),
             was_replaced: false,
+            appointed: None,
             retirement: None,
             mediation: Mediation::default(),
+            registered_by: Time::default(),
+            ineffective_commands: 0,
+            term_raises: 0,
             command_term: 0,
             statuses: Vec::new(),
             is_handover: reason.is_planned(),
@@ -107,6 +121,7 @@
     /// Replaces the primary unless the other instances' views speak against it or no server can be
     /// promoted without losing commits.
     pub async fn run(&mut self) {
+        let asked = self.node.now();
         let views = self
             .node
             .peers
@@ -114,9 +129,15 @@
             .await;
         let old = self.old.as_ref().map(|old| &old.name);
         self.mediation = Mediation::open(&views, old);
-        let mut bound = Bound::open(lock(&self.group.leadership).acknowledged());
+        let answered = self.node.now();
+        let mut bound = self.group.bound();
         for (address, view) in &views {
-            bound.raise(view.acknowledged, Source::View(*address));
+            bound.raise(view.acknowledged, Source::View(*address), answered);
+            if view.acknowledged > Position::default() {
+                // The age is that at the time of the answer, so the commit was not sent earlier.
+                let age = Span::from_millis(view.commit_age_ms);
+                self.group.on_commit_elsewhere(asked - age);
+            }
         }
         let views: Vec<View> = views.into_iter().map(|(_, view)| view).collect();
         let opinion = Opinion::of(&views, old);
@@ -251,6 +272,8 @@
     /// primary has been replaced; returns whether it still must be.
     fn take_appointed(&mut self, claim: &Claim) -> bool {
         self.was_replaced = claim.lease.leader.is_some() || claim.lease.requested.is_some();
+        let is_pending = claim.lease.requested.is_some();
+        self.appointed = claim.lease.leader.filter(|_| !is_pending);
         if let Some(address) = claim.lease.leader {
             let appointed = self.group.server_at(address);
             let is_other = match (&self.old, &appointed) {
@@ -284,6 +307,10 @@
         }
         if let Some(retirement) = &self.retirement {
             let bound = retirement.acknowledged();
+            if bound.registered_by > self.registered_by {
+                survey.is_complete = false;
+                self.registered_by = bound.registered_by;
+            }
             if bound.position > survey.acknowledged {
                 survey.acknowledged = bound.position;
                 self.log_bound(bound);
@@ -362,7 +389,7 @@
     /// the holder of an unfinished replacement listed them.
     fn knows_membership(&self) -> bool {
         let now = self.node.now();
-        let mut known = self.group.commit_holders(now);
+        let mut known = self.group.commit_holders();
         let unfinished = self.node.leases.newest(&self.group.name);
         if let Some(lease) = unfinished.filter(|lease| lease.phase != Phase::Done) {
             known.extend(lease.commit_holders);
@@ -381,6 +408,7 @@
             acknowledged: bound.position,
             ..Survey::default()
         };
+        self.registered_by = bound.registered_by;
         let mut renewed = self.node.now();
         for attempt in 1..=ATTEMPTS_MAX {
             if self.reason == Reason::Silent
@@ -406,7 +434,7 @@
             }
             if self.reason.is_planned()
                 && attempt >= DEMOTION_ATTEMPTS_MAX
-                && survey.demoted.is_none()
+                && !survey.has_whole_log()
             {
                 // It or its zone may have failed; then only paused replicas prove what was acknowledged.
                 log::info!("event=primary-not-demoted group={}", self.group.name);
@@ -419,6 +447,10 @@
                 self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
+            if !survey.is_complete && survey.is_short() && self.node.now() >= self.registered_by {
+                survey.is_complete =
+                    registrations::are_known(self.node, self.group, &survey.holders).await;
+            }
             let (choice, rule) = match self.requested_earlier(claim) {
                 Some(server) => (Choice::Promote(server), "requested earlier"),
                 None => (survey.choose(), survey.rule()),
@@ -474,11 +506,16 @@
         let demoted = mediation.request(self.node, self.group, old, term).await;
         self.is_handover |= demoted.is_some();
         survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
+        let current = self.group.server(&old.name);
+        survey.is_unproven = !current.is_some_and(|server| self.group.has_led(&server));
     }
 
     /// Returns whether so many servers besides the old primary answer that one can be chosen.
     async fn reaches_successors(&self) -> bool {
-        let holders = self.group.commit_holders(self.node.now()).len();
+        let covered = self.group.covered_holders();
+        let mut holders = self.group.commit_holders();
+        holders.retain(|name| !covered.contains_key(name));
+        let holders = holders.len();
         let departed = self.group.unconfirmed_departures().len();
         let sync_replicas = lock(&self.group.settings).sync_replicas;
         let needed = match self.mediation.instances().is_empty() {
@@ -487,10 +524,9 @@
             false => 1,
         };
         let servers = self.group.servers();
-        let old = self.old.as_ref().map(|old| &old.name);
         let mut answers: FuturesUnordered<_> = servers
             .iter()
-            .filter(|server| Some(&server.name) != old)
+            .filter(|server| !self.is_old(server))
             .map(|server| command::run_pooled(self.node, server, &Statement::Status))
             .collect();
         let mut answered = 0;
@@ -503,6 +539,24 @@
         false
     }
 
+    /// Raises the term of the next attempt's commands if one of `term` had no effect at a server that
+    /// answered: it has seen a newer term than its log and status tell, as a promoted server's positions
+    /// stay in the earlier term until its first commit.
+    fn raise_term(&mut self, term: u64) {
+        if self.ineffective_commands == 0 {
+            return;
+        }
+        self.ineffective_commands = 0;
+        self.term_raises += 1;
+        // The steps grow, so that a term far above is reached within the attempts of one replacement.
+        self.term = self.term.max(term + self.term_raises - 1);
+        log::info!(
+            "event=failover-term-raised group={} from={term} to={}",
+            self.group.name,
+            self.term + 1
+        );
+    }
+
     /// Returns a term above every one that this instance knows of.
     fn next_term(&self, survey: &Survey) -> u64 {
         self.term.max(survey.acknowledged.term) + 1
@@ -559,7 +613,13 @@
     /// token. That changes nothing at the server, but has the earlier promotion rejected before the
     /// replicas resume. Otherwise no promotion is requested: it takes effect with a delay and would
     /// reinstate the server even if it had been demoted meanwhile.
-    async fn recovered_primary(&self, claim: &mut Claim) -> Option<Arc<str>> {
+    async fn recovered_primary(&mut self, claim: &mut Claim) -> Option<Arc<str>> {
+        // It may have started again, which closes the connections to its former run.
+        if let Some(old) = &self.old
+            && let Some(current) = self.group.server(&old.name)
+        {
+            self.old = Some(current);
+        }
         let old = self.old.as_ref()?;
         if self
             .requested_earlier(claim)
@@ -601,7 +661,8 @@
 
     /// Stops servers that may still acknowledge commits, and collects the position of each log.
     async fn collect(&mut self, survey: &mut Survey) {
-        survey.holders = self.group.commit_holders(self.node.now());
+        survey.holders = self.group.commit_holders();
+        survey.covered = self.group.covered_holders();
         let servers = self.group.servers();
         survey.leaving = servers
             .iter()
@@ -624,7 +685,7 @@
         let leaves_old_alone = self.reason == Reason::Silent
             || (survey.demoted.is_some() && !self.reason.is_planned());
         let requests = servers.iter().map(|server| async move {
-            let is_old = this.old.as_ref().is_some_and(|old| old.name == server.name);
+            let is_old = this.is_old(server);
             let statement = match (is_old, this.is_handover) {
                 (true, _) if leaves_old_alone => return (server, true, None),
                 (true, _) => Statement::Demote { term },
@@ -653,28 +714,48 @@
             };
             let name = Arc::clone(&server.name);
             self.term = self.term.max(status.term).max(status.paused_term);
+            let is_commanded = is_old || !self.is_handover;
+            let is_followed = match is_old {
+                true => status.role == Role::Replica,
+                false => status.role == Role::Primary || status.paused_term > 0,
+            };
+            self.ineffective_commands += u32::from(is_commanded && !is_followed);
             if status.role == Role::Primary {
                 self.on_other_primary(server, term).await;
             } else if is_old {
                 survey.demoted = Some((name, status.received));
+                survey.is_unproven = !self.group.has_led(server);
             } else if status.paused_term > 0 {
                 survey.paused.insert(name, status.received);
             } else {
                 survey.receiving.insert(name, status.received);
             }
         }
+        self.raise_term(term);
+    }
+
+    /// Returns whether a server is the old primary, rather than a later run of it that may lack its log.
+    fn is_old(&self, server: &Server) -> bool {
+        let old = self.old.as_ref();
+        old.is_some_and(|old| old.name == server.name)
+            && !self.group.has_restarted_since_led(server)
     }
 
     /// Handles a server other than the old primary that acts as primary.
     async fn on_other_primary(&mut self, server: &Arc<Server>, term: u64) {
-        if self.is_unchecked() && self.old.is_none() && !self.was_replaced {
-            // The group has had no other primary, so this one only was not found.
+        let is_first = self.old.is_none() && !self.was_replaced;
+        let is_appointed = self.appointed == Some(lock(&server.entry).address);
+        if self.is_unchecked() && (is_first || is_appointed) {
+            // Either the group has had no other primary, so this one only was not found, or the latest
+            // one is back with its log.
             self.old = Some(Arc::clone(server));
             self.reason = Reason::Silent;
             self.believe(Some(server));
         } else if self.is_unchecked() {
             // It has been replaced and was not demoted yet.
-            self.run_command(server, &Statement::Demote { term }).await;
+            let status = self.run_command(server, &Statement::Demote { term }).await;
+            let is_demoted = status.is_none_or(|status| status.role == Role::Replica);
+            self.ineffective_commands += u32::from(!is_demoted);
         } else {
             // It leads in a term that this instance doesn't know yet.
             task::leader::probe(self.node, self.group, server).await;
@@ -748,7 +829,7 @@
 
 /// Describes a server's answer in a survey, for the log.
 fn describe(server: &Server, status: Option<&Status>) -> String {
-    let born = lock(&server.entry).born;
+    let born = server.born();
     let Some(status) = status else {
         return format!("{}:born={born},silent", server.name);
     };
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod background;
 mod balance;
+mod commit_holders;
 mod confirmations;
 mod departures;
 mod deposed;
@@ -26,6 +27,7 @@
 mod replacement;
 mod replacement_schedule;
 mod reports;
+mod restarted_primary;
 mod schedule;
 mod sessions;
 mod settings_schedule;
