Model lost logs, replies with the end of the log, and late calls

New, each as an option of a search: the reply carries the end of the primary's log; one server ends for good or starts again without its log; an order that was given up arrives later; PAUSE, DEMOTE and RESUME are carried out late. The group must get a primary that both instances know, also without the lost server. A replacement gives up resuming a server that doesn't answer, as the product does.

Each option has a test in faults.rs that turns a rule off and finds the fault, except for the end of the log: there the product has no rule yet, and the test finds the fault with all rules.

--- a/crates/relay/tests/model/calm.rs
+++ b/crates/relay/tests/model/calm.rs
@@ -5,7 +5,6 @@
 use crate::commit::Stage;
 use crate::replacement::Fate;
 use crate::replacement::Step;
-use crate::state::Late;
 use crate::state::State;
 use crate::world::Event;
 use crate::world::SHORT;
@@ -18,19 +17,12 @@
     /// Ends all faults.
     pub fn calm(&self, state: &mut State) {
         while let Some(call) = state.late.pop() {
-            match call {
-                Late::Write(expected, lease) => {
-                    state.table.write(expected, &lease);
-                }
-                Late::Order(order) => {
-                    state.cluster.order(self.rules.fencing, order, true);
-                }
-            }
+            state.carry(self.rules.fencing, call);
         }
         state.are_peers_cut = false;
         for server in 0..SERVERS {
             let server_state = &state.cluster.servers[server];
-            if server_state.has_joined && !server_state.is_up {
+            if server_state.has_joined && !server_state.is_up && !server_state.is_gone {
                 state
                     .cluster
                     .restart(server, self.limits.is_demotion_forgotten);
--- a/crates/relay/tests/model/cluster.rs
+++ b/crates/relay/tests/model/cluster.rs
@@ -37,6 +37,8 @@
     pub has_joined: bool,
     /// Whether it runs.
     pub is_up: bool,
+    /// Whether it never runs again.
+    pub is_gone: bool,
     /// Whether it is about to leave.
     pub is_draining: bool,
     /// Whether it acts as primary.
@@ -115,6 +117,8 @@
     pub leader: usize,
     /// The term in which it leads.
     term: u64,
+    /// The log of `leader` if that has lost it.
+    lost: Option<Vec<(u64, usize)>>,
     /// The accepted orders that have not taken effect.
     pub orders: Vec<Order>,
     /// The tokens of all orders that reached the platform, with their holders.
@@ -129,6 +133,7 @@
         let server = |index: usize| Server {
             has_joined: index + 1 < SERVERS,
             is_up: index + 1 < SERVERS,
+            is_gone: false,
             is_draining: false,
             is_primary: index == 0,
             term: FIRST_TERM,
@@ -139,6 +144,7 @@
             servers: std::array::from_fn(server),
             leader: 0,
             term: FIRST_TERM,
+            lost: None,
             orders: Vec::new(),
             tokens: Vec::new(),
             broken: None,
@@ -188,6 +194,7 @@
         self.term = terms.max().unwrap_or_default().max(self.term) + 1;
         let former = self.leader;
         self.leader = chosen;
+        self.lost = None;
         for index in 0..SERVERS {
             let goes_on = fencing == Fencing::Unchecked
                 && index == former
@@ -206,7 +213,7 @@
 
     /// Makes a server a replica of the leader and rolls back what the leader lacks.
     pub fn follow(&mut self, server: usize) {
-        let log = self.servers[self.leader].log.clone();
+        let log = self.leader_log().clone();
         let server = &mut self.servers[server];
         if !server.is_up {
             return;
@@ -225,6 +232,7 @@
         let is_receiving = server.has_joined && server.is_up && server.paused == 0;
         is_receiving
             && leader.is_up
+            && self.lost.is_none()
             && replica != self.leader
             && !server.is_primary
             && server.log != leader.log
@@ -235,6 +243,28 @@
         self.servers[replica].log = self.servers[self.leader].log.clone();
     }
 
+    /// Returns the log that the server which was promoted last had.
+    pub fn leader_log(&self) -> &Vec<(u64, usize)> {
+        let log = &self.servers[self.leader].log;
+        self.lost.as_ref().unwrap_or(log)
+    }
+
+    /// Starts a server again, which holds and knows nothing of before.
+    pub fn wipe(&mut self, server: usize) {
+        if server == self.leader {
+            self.lost = Some(self.leader_log().clone());
+        }
+        self.servers[server] = Server {
+            is_up: true,
+            is_draining: false,
+            is_primary: false,
+            term: FIRST_TERM,
+            paused: 0,
+            log: Vec::new(),
+            ..self.servers[server].clone()
+        };
+    }
+
     /// Restarts a server, which forgets its pause.
     pub fn restart(&mut self, server: usize, is_demotion_forgotten: bool) {
         let was_primary = self.servers[server].is_primary;
--- a/crates/relay/tests/model/commit.rs
+++ b/crates/relay/tests/model/commit.rs
@@ -82,6 +82,18 @@
     }
 }
 
+/// Has the primary's answer arrive. The primary may have written it any time after the replica received
+/// the commit, with the end that its log had by then if `has_ends` is set.
+pub fn answer(state: &mut State, number: usize, has_ends: bool) {
+    let commit = &mut state.commits[number];
+    commit.stage = Stage::Answered;
+    let server = &state.cluster.servers[commit.server];
+    let holds = server.log.iter().any(|(_, received)| *received == number);
+    if has_ends && server.is_up && server.is_primary && holds {
+        commit.position = server.received();
+    }
+}
+
 /// Acknowledges the commits whose instances may do so now.
 pub fn settle(rules: &Rules, state: &mut State) {
     for number in 0..state.commits.len() {
--- a/crates/relay/tests/model/faults.rs
+++ b/crates/relay/tests/model/faults.rs
@@ -4,6 +4,7 @@
 
 use crate::rules::Limits;
 use crate::rules::Rules;
+use crate::rules_hold::delayed_order;
 use crate::search::explore;
 use crate::search::replay;
 use crate::search::walk;
@@ -104,3 +105,69 @@
     };
     assert_found_by_walks("early survey", "LOST", world, 200_000);
 }
+
+/// Guards against a model whose replies carry positions that a replica has: the end of the primary's log
+/// is gone with the primary, so that no log reaches it.
+#[test]
+fn an_end_that_only_the_primary_had_keeps_its_group_without_one() {
+    let world = World {
+        rules: Rules::all(Fencing::Enforced),
+        limits: Limits {
+            has_ends: true,
+            losses: 1,
+            ..Limits::many()
+        },
+    };
+    assert_found_by_walks("issue 50, end", "the group has no primary", world, 1_000);
+}
+
+/// Guards against a model in which a server that starts again has its log: the only replica with a commit
+/// has lost it and the primary ends.
+#[test]
+fn commits_are_lost_with_a_log_if_no_bound_is_known() {
+    let world = World {
+        rules: Rules {
+            has_bound: false,
+            ..Rules::all(Fencing::Enforced)
+        },
+        limits: Limits {
+            changes: 0,
+            losses: 1,
+            ..Limits::few()
+        },
+    };
+    assert_found_by_walks("issue 50, lost log", "LOST", world, 200_000);
+}
+
+/// Guards against a model in which no order outlives the claim of its holder, and against one in which
+/// a deadline doesn't end that.
+#[test]
+fn orders_without_a_deadline_arrive_after_those_of_the_next_holder() {
+    let rules = |has_order_deadline| Rules {
+        has_order_deadline,
+        ..Rules::all(Fencing::Unchecked)
+    };
+    let (world, events) = delayed_order(rules(false));
+    let broken = "ONE: an order has a lower token than an earlier one";
+    assert_eq!(replay(&world, &events), Ok(Some(broken.to_owned())));
+    let (world, events) = delayed_order(rules(true));
+    assert_eq!(replay(&world, &events), Err("Carry(0)".to_owned()));
+}
+
+/// Guards against a model in which no command outlives the claim of its holder: a replica is paused after
+/// the replacement has ended, and nobody looks at it.
+#[test]
+fn a_replica_that_is_paused_late_stays_paused_without_a_check() {
+    let world = World {
+        rules: Rules {
+            has_recheck: false,
+            ..Rules::all(Fencing::Enforced)
+        },
+        limits: Limits {
+            has_late_commands: true,
+            ticks: 3,
+            ..Limits::few()
+        },
+    };
+    assert_found_by_walks("issue 50, late command", "stays paused", world, 20_000);
+}
--- a/crates/relay/tests/model/instance.rs
+++ b/crates/relay/tests/model/instance.rs
@@ -18,13 +18,13 @@
 use relay::group::LeaderLease;
 use relay::group::Leadership;
 use relay::group::Proof;
-use relay::node::Fencing;
 use relay::peers::View;
 use store::Row;
 
 use crate::cluster;
 use crate::cluster::SERVERS;
 use crate::replacement::Replacement;
+use crate::rules::Rules;
 use crate::table::Content;
 use crate::table::row;
 
@@ -72,6 +72,7 @@
     /// A row that was read and arrives later, with the start of the call.
     pub unread: Option<(Time, Content)>,
     registered_since: Option<Time>,
+    has_recheck: bool,
     pub recheck: Recheck,
     detector: Detector,
     /// When the primary last answered.
@@ -81,21 +82,15 @@
 
 impl Instance {
     /// Starts an instance at `now`.
-    pub fn open(
-        now: Time,
-        incarnation: u64,
-        knows: [bool; SERVERS],
-        follows_rows: bool,
-        fencing: Fencing,
-    ) -> Self {
+    pub fn open(now: Time, incarnation: u64, knows: [bool; SERVERS], rules: &Rules) -> Self {
         let mut recheck = Recheck::default();
         recheck.on_replacement(now);
         Self {
             incarnation,
             is_up: true,
             is_frozen: false,
-            follows_rows,
-            is_fenced: fencing == Fencing::Enforced,
+            follows_rows: rules.follows_rows(),
+            is_fenced: !rules.is_unchecked(),
             reaches: [true; SERVERS],
             reaches_table: true,
             knows,
@@ -105,6 +100,7 @@
             seen: None,
             unread: None,
             registered_since: None,
+            has_recheck: rules.has_recheck,
             recheck,
             detector: Detector::default(),
             replied_at: now,
@@ -278,7 +274,7 @@
         let reason = self.detector.step(now, &observation);
         // The check is due until it is begun.
         let mut recheck = self.recheck;
-        let is_due = recheck.step(now);
+        let is_due = self.has_recheck && recheck.step(now);
         reason.or_else(|| (is_due && self.leader().is_some()).then_some(Reason::Unfinished))
     }
 
--- a/crates/relay/tests/model/promotion.rs
+++ b/crates/relay/tests/model/promotion.rs
@@ -23,6 +23,9 @@
 /// Attempts to demote a primary that leaves before it counts as silent.
 const DEMOTION_ATTEMPTS_MAX: u8 = 2;
 const PROOF_TIMEOUT: Span = Span::from_millis(2_500);
+/// Attempts to resume the replicas, fewer than those of the product.
+const RESUMPTIONS_MAX: u8 = 12;
+const REQUEST_TIMEOUT: Span = Span::from_millis(1_200);
 
 impl Replacement {
     pub fn on_decide(&mut self, scene: &mut Scene<'_>) -> Step {
@@ -122,6 +125,12 @@
                 scene.state.late.push(Late::Order(order));
                 None
             }
+            Fate::Delayed => {
+                let deadline = scene.state.now + REQUEST_TIMEOUT;
+                let until = scene.rules.has_order_deadline.then_some(deadline);
+                scene.state.late.push(Late::Delayed(order, until));
+                None
+            }
             Fate::Lost => None,
         };
         match outcome.filter(|_| scene.fate == Fate::Done) {
@@ -195,19 +204,23 @@
         let mut is_any_paused = scene.fate != Fate::Done;
         for server in 0..SERVERS {
             let is_asked = scene.state.instances[scene.instance].knows[server] && server != leader;
-            if is_asked && scene.fate != Fate::Lost {
-                let resume = Command::Resume;
+            let resume = Command::Resume;
+            if is_asked && scene.fate == Fate::Late {
+                scene.state.late.push(Late::Command(server, resume));
+            } else if is_asked && scene.fate != Fate::Lost {
                 let answer = scene.state.command(scene.instance, server, resume);
                 is_any_paused |= answer.is_none_or(|status| status.paused > 0);
             }
         }
-        match is_any_paused {
+        if !is_any_paused {
+            let recheck = &mut scene.state.instances[scene.instance].recheck;
+            recheck.on_resumed();
+            return Step::Release { is_settled: true };
+        }
+        self.resumptions += 1;
+        match self.resumptions < RESUMPTIONS_MAX {
             true => Step::Resume { leader },
-            false => {
-                let recheck = &mut scene.state.instances[scene.instance].recheck;
-                recheck.on_resumed();
-                Step::Release { is_settled: true }
-            }
+            false => Step::Release { is_settled: true },
         }
     }
 
--- a/crates/relay/tests/model/replacement.rs
+++ b/crates/relay/tests/model/replacement.rs
@@ -35,6 +35,8 @@
     Unheard,
     /// They are given up and carried out later.
     Late,
+    /// They are given up and arrive later.
+    Delayed,
 }
 
 /// The next step of a replacement.
@@ -85,6 +87,8 @@
     pub is_retried: bool,
     pub is_unanswered: bool,
     pub was_replaced: bool,
+    /// Attempts to resume the replicas.
+    pub resumptions: u8,
 }
 
 /// The surroundings of a step.
@@ -122,6 +126,7 @@
             is_retried: false,
             is_unanswered: false,
             was_replaced: false,
+            resumptions: 0,
         }
     }
 
@@ -129,12 +134,18 @@
     pub fn fates(&self) -> &'static [Fate] {
         match self.step {
             Step::Views | Step::Read | Step::List => &[Fate::Done, Fate::Lost],
-            Step::Mediate | Step::Revoke | Step::Survey { .. } => {
-                &[Fate::Done, Fate::Lost, Fate::Unheard]
+            Step::Revoke => &[Fate::Done, Fate::Lost, Fate::Unheard],
+            Step::Mediate | Step::Survey { .. } | Step::Resume { .. } => {
+                &[Fate::Done, Fate::Lost, Fate::Unheard, Fate::Late]
             }
             Step::Write { .. } => &[Fate::Done, Fate::Lost, Fate::Late],
-            Step::Order { .. } => &[Fate::Done, Fate::Lost, Fate::Unheard, Fate::Late],
-            Step::Resume { .. } => &[Fate::Done, Fate::Lost, Fate::Unheard],
+            Step::Order { .. } => &[
+                Fate::Done,
+                Fate::Lost,
+                Fate::Unheard,
+                Fate::Late,
+                Fate::Delayed,
+            ],
             Step::Recover
             | Step::Decide
             | Step::Proof { .. }
@@ -143,6 +154,14 @@
             | Step::End => &[Fate::Done],
         }
     }
+
+    /// Returns whether the calls of the next step are commands to servers.
+    pub fn sends_commands(&self) -> bool {
+        matches!(
+            self.step,
+            Step::Mediate | Step::Survey { .. } | Step::Resume { .. }
+        )
+    }
 }
 
 /// Runs the next step of an instance's replacement.
--- a/crates/relay/tests/model/rules.rs
+++ b/crates/relay/tests/model/rules.rs
@@ -15,6 +15,12 @@
     pub has_eras: bool,
     /// Whether the logs are read only after the other instances' leases have ended.
     pub is_survey_last: bool,
+    /// Whether the logs must reach the positions at which commits were acknowledged.
+    pub has_bound: bool,
+    /// Whether an order that was given up can't reach the platform any more.
+    pub has_order_deadline: bool,
+    /// Whether instances resume replicas that are found paused after a replacement.
+    pub has_recheck: bool,
 }
 
 impl Rules {
@@ -26,6 +32,10 @@
             has_mediation: true,
             has_eras: true,
             is_survey_last: true,
+            has_bound: true,
+            // What the kernel has taken over is sent again for longer than the order is waited for.
+            has_order_deadline: false,
+            has_recheck: true,
         }
     }
 }
@@ -66,6 +76,16 @@
     pub is_fine: bool,
     /// Whether a demoted primary that crashes is back as a primary.
     pub is_demotion_forgotten: bool,
+    /// Whether the reply to a commit carries the end of the primary's log instead of the commit's own
+    /// position.
+    pub has_ends: bool,
+    /// Servers that end for good or lose their log. More than one may take an acknowledged commit with
+    /// them.
+    pub losses: u8,
+    /// Whether an order may reach the platform after its sender has given it up.
+    pub has_delayed_orders: bool,
+    /// Whether commands to servers may be carried out after their sender has given them up.
+    pub has_late_commands: bool,
 }
 
 impl Limits {
@@ -82,6 +102,10 @@
             has_long_pauses: false,
             is_fine: false,
             is_demotion_forgotten: false,
+            has_ends: false,
+            losses: 0,
+            has_delayed_orders: false,
+            has_late_commands: false,
         }
     }
 
@@ -98,6 +122,10 @@
             has_long_pauses: true,
             is_fine: true,
             is_demotion_forgotten: false,
+            has_ends: false,
+            losses: 0,
+            has_delayed_orders: false,
+            has_late_commands: false,
         }
     }
 }
--- a/crates/relay/tests/model/rules_hold.rs
+++ b/crates/relay/tests/model/rules_hold.rs
@@ -1,5 +1,7 @@
 //! The rules of the product, with which nothing may be found.
 
+use std::iter::repeat_n;
+
 use relay::node::Fencing;
 use test_case::test_case;
 
@@ -17,6 +19,8 @@
 const DEPTH: usize = 9;
 /// Random walks in CI.
 const SEEDS: u64 = 3_000;
+/// Random walks in CI with each further option.
+const SEEDS_OF_OPTIONS: u64 = 1_000;
 /// Events of a walk.
 const WALK: usize = 60;
 /// States that fit the memory of a machine that runs other tests, too.
@@ -63,6 +67,61 @@
     assert_nothing(&walk(&world, WALK, 0..seeds, ""));
 }
 
+fn walk_randomly(fencing: Fencing, limits: Limits) {
+    let world = World {
+        rules: Rules::all(fencing),
+        limits,
+    };
+    let seeds = number("YUCCAMOUNT_MODEL_SEEDS", SEEDS_OF_OPTIONS);
+    assert_nothing(&walk(&world, WALK, 0..seeds, ""));
+}
+
+/// Guards against the loss of commits, or of the group, with one server that never runs again or starts
+/// again without its log.
+#[test_case(Fencing::Enforced; "enforced")]
+#[test_case(Fencing::Unchecked; "unchecked")]
+fn a_lost_log_breaks_nothing(fencing: Fencing) {
+    let limits = Limits {
+        losses: 1,
+        ..Limits::many()
+    };
+    walk_randomly(fencing, limits);
+}
+
+/// Guards against the same where the replies to commits carry the end of the primary's log, which may
+/// have reached no replica.
+#[test_case(Fencing::Enforced; "enforced")]
+#[test_case(Fencing::Unchecked; "unchecked")]
+fn a_lost_log_whose_end_was_replied_breaks_nothing(fencing: Fencing) {
+    let limits = Limits {
+        has_ends: true,
+        losses: 1,
+        ..Limits::many()
+    };
+    walk_randomly(fencing, limits);
+}
+
+/// Guards against an order that reaches the platform after those of a newer holder.
+#[test]
+fn a_delayed_order_breaks_nothing() {
+    let limits = Limits {
+        has_delayed_orders: true,
+        ..Limits::many()
+    };
+    walk_randomly(Fencing::Unchecked, limits);
+}
+
+/// Guards against commands to servers that are carried out after their sender has lost the lease.
+#[test_case(Fencing::Enforced; "enforced")]
+#[test_case(Fencing::Unchecked; "unchecked")]
+fn late_commands_break_nothing(fencing: Fencing) {
+    let limits = Limits {
+        has_late_commands: true,
+        ..Limits::many()
+    };
+    walk_randomly(fencing, limits);
+}
+
 /// Guards against an instance that never learns of the end of a replacement: it was frozen when that was
 /// announced, and the holder couldn't write the row, as the table had returned from an older copy.
 #[test]
@@ -178,3 +237,39 @@
     ];
     assert_eq!(replay(&world, &events), Ok(None));
 }
+
+/// Returns a world under `rules`, with events in which an order was given up and arrives after that of the
+/// next holder, unless it can't arrive any more.
+pub fn delayed_order(rules: Rules) -> (World, Vec<Event>) {
+    let done = |instance, steps| repeat_n(Event::Step(instance, Fate::Done), steps);
+    let mut events = vec![Event::Crash(0), Event::Pass, Event::Begin(0)];
+    events.extend(done(0, 4));
+    events.extend([
+        Event::Step(0, Fate::Delayed),
+        Event::Kill(0),
+        Event::PassLong,
+        Event::PassLong,
+        Event::Begin(1),
+    ]);
+    events.extend(done(1, 2));
+    events.extend([Event::Pass, Event::Pass, Event::Pass]);
+    events.extend(done(1, 3));
+    events.push(Event::Carry(0));
+    let limits = Limits {
+        faults: 3,
+        ticks: 8,
+        has_instance_faults: true,
+        has_long_pauses: true,
+        has_delayed_orders: true,
+        ..Limits::few()
+    };
+    (World { rules, limits }, events)
+}
+
+/// Guards against an order that reaches the platform after one with a higher token.
+#[test]
+fn an_order_that_was_given_up_does_not_arrive_after_the_next_one() {
+    let (world, events) = delayed_order(Rules::all(Fencing::Unchecked));
+    let is_impossible = Err("Carry(0)".to_owned());
+    assert_eq!(replay(&world, &events), is_impossible);
+}
--- a/crates/relay/tests/model/state.rs
+++ b/crates/relay/tests/model/state.rs
@@ -4,6 +4,7 @@
 use clock::Time;
 use relay::failover::Lease;
 use relay::failover::Recheck;
+use relay::node::Fencing;
 
 use crate::cluster::Cluster;
 use crate::cluster::Command;
@@ -20,8 +21,12 @@
 pub enum Late {
     /// A write of the group's row, if that still has the version.
     Write(u64, Lease),
-    /// An order to the platform.
+    /// An order that the platform carries out late.
     Order(Order),
+    /// An order that is on its way, until when it may arrive; `None` if it may do so at any time.
+    Delayed(Order, Option<Time>),
+    /// A command to a server.
+    Command(usize, Command),
 }
 
 /// One moment of the model.
@@ -38,6 +43,8 @@
     pub faults: u8,
     pub ticks: u8,
     pub changes: u8,
+    /// Servers that ended for good or lost their log.
+    pub losses: u8,
 }
 
 impl State {
@@ -46,8 +53,7 @@
         let now = Time::ZERO + Span::from_secs(60);
         let mut knows = [true; SERVERS];
         knows[SERVERS - 1] = false;
-        let instance =
-            |number: u64| Instance::open(now, number, knows, rules.follows_rows(), rules.fencing);
+        let instance = |number: u64| Instance::open(now, number, knows, rules);
         let mut state = Self {
             now,
             cluster: Cluster::open(),
@@ -59,6 +65,7 @@
             faults: 0,
             ticks: 0,
             changes: 0,
+            losses: 0,
         };
         for instance in 0..2 {
             state.instances[instance].recheck = Recheck::default();
@@ -70,9 +77,34 @@
 
     /// Has an instance send a command to a server; `None` without an answer.
     pub fn command(&mut self, instance: usize, server: usize, command: Command) -> Option<Status> {
-        let server_state = &mut self.cluster.servers[server];
-        let is_reached = self.instances[instance].reaches[server] && server_state.is_up;
-        is_reached.then(|| server_state.run(command))
+        let is_reached = self.instances[instance].reaches[server];
+        is_reached.then(|| self.run(server, command)).flatten()
+    }
+
+    /// Has a server run a command; `None` if it is down.
+    fn run(&mut self, server: usize, command: Command) -> Option<Status> {
+        let server = &mut self.cluster.servers[server];
+        server.is_up.then(|| server.run(command))
+    }
+
+    /// Carries out a call that its caller has given up.
+    pub fn carry(&mut self, fencing: Fencing, call: Late) {
+        match call {
+            Late::Write(expected, lease) => {
+                self.table.write(expected, &lease);
+            }
+            Late::Order(order) => {
+                self.cluster.order(fencing, order, true);
+            }
+            Late::Delayed(order, until) => {
+                if until.is_none_or(|until| self.now < until) {
+                    self.cluster.order(fencing, order, false);
+                }
+            }
+            Late::Command(server, command) => {
+                self.run(server, command);
+            }
+        }
     }
 
     /// Has an instance read the servers' entries.
--- a/crates/relay/tests/model/survey.rs
+++ b/crates/relay/tests/model/survey.rs
@@ -13,6 +13,7 @@
 use crate::replacement::Replacement;
 use crate::replacement::Scene;
 use crate::replacement::Step;
+use crate::state::Late;
 
 const LEASE_RENEWAL_PERIOD: Span = Span::from_millis(1_000);
 
@@ -105,6 +106,10 @@
             return Step::Revoke;
         }
         let demote = Command::Demote(self.next_term());
+        if scene.fate == Fate::Late {
+            scene.state.late.push(Late::Command(old, demote));
+            return Step::Revoke;
+        }
         let answer = scene.state.command(other, old, demote);
         if let Some(status) = answer.filter(|status| !status.is_primary) {
             let leadership = &mut scene.state.instances[other].leadership;
@@ -163,7 +168,9 @@
     pub fn on_survey(&mut self, scene: &mut Scene<'_>, next: usize) -> Step {
         let surveyor = &scene.state.instances[scene.instance];
         let knows = surveyor.knows;
-        self.survey.acknowledged = self.acknowledged;
+        if scene.rules.has_bound {
+            self.survey.acknowledged = self.acknowledged;
+        }
         self.survey.holders = surveyor.commit_holders();
         let servers = &scene.state.cluster.servers;
         self.survey.leaving = (0..SERVERS)
@@ -196,7 +203,10 @@
             (false, true) => Command::Status,
             (false, false) => Command::Pause(term),
         };
-        if scene.fate == Fate::Lost {
+        if scene.fate == Fate::Late && command != Command::Status {
+            scene.state.late.push(Late::Command(server, command));
+        }
+        if matches!(scene.fate, Fate::Lost | Fate::Late) {
             return;
         }
         let answer = scene.state.command(scene.instance, server, command);
--- a/crates/relay/tests/model/world.rs
+++ b/crates/relay/tests/model/world.rs
@@ -43,6 +43,10 @@
     Start(usize),
     /// A replica restarts and forgets its pause.
     Restart(usize),
+    /// A server ends for good.
+    Vanish(usize),
+    /// A server starts again without its log.
+    Wipe(usize),
     /// The last server joins.
     Join,
     /// An instance learns of the server that joined.
@@ -110,7 +114,12 @@
             }
         }
         events.extend((0..state.cluster.orders.len()).map(Event::Promote));
-        events.extend((0..state.late.len()).map(Event::Carry));
+        let may_arrive = |call: &Late| match call {
+            Late::Delayed(_, until) => until.is_none_or(|until| state.now < until),
+            _ => true,
+        };
+        let calls = (0..state.late.len()).filter(|call| may_arrive(&state.late[*call]));
+        events.extend(calls.map(Event::Carry));
         if state.ticks < self.limits.ticks {
             events.push(Event::Pass);
             if self.limits.has_long_pauses {
@@ -128,7 +137,7 @@
         }
         for server in 0..SERVERS {
             let server_state = &state.cluster.servers[server];
-            if server_state.has_joined && !server_state.is_up {
+            if server_state.has_joined && !server_state.is_up && !server_state.is_gone {
                 events.push(Event::Start(server));
             }
         }
@@ -152,7 +161,7 @@
         if let Some(why) = state.cluster.broken {
             return Some(why.to_owned());
         }
-        let log = &state.cluster.servers[state.cluster.leader].log;
+        let log = state.cluster.leader_log();
         let lost = state.commits.iter().enumerate().find(|(number, commit)| {
             commit.stage == Stage::Acknowledged
                 && !log.iter().any(|(_, received)| received == number)
@@ -180,7 +189,7 @@
             }
         }
         let leader = &state.cluster.servers[state.cluster.leader];
-        if !leader.is_primary {
+        if !leader.is_primary || !leader.is_up {
             return Some("the group has no primary".to_owned());
         }
         if state
@@ -221,14 +230,17 @@
         if let Some(replacement) = &instance.replacement {
             let fates = replacement.fates().iter();
             let is_free = state.faults < self.limits.faults;
-            let has_late = self.limits.has_late_calls;
-            events.extend(
-                fates
-                    .filter(|fate| **fate == Fate::Done || is_free)
-                    .filter(|fate| **fate != Fate::Late || has_late)
-                    .filter(|fate| **fate != Fate::Unheard || self.limits.is_fine)
-                    .map(|fate| Event::Step(index, *fate)),
-            );
+            let is_command = replacement.sends_commands();
+            let may_happen = |fate: Fate| match fate {
+                Fate::Done => true,
+                Fate::Lost => is_free,
+                Fate::Unheard => is_free && self.limits.is_fine,
+                Fate::Late if is_command => is_free && self.limits.has_late_commands,
+                Fate::Late => is_free && self.limits.has_late_calls,
+                Fate::Delayed => is_free && self.limits.has_delayed_orders,
+            };
+            let fates = fates.filter(|fate| may_happen(**fate));
+            events.extend(fates.map(|fate| Event::Step(index, *fate)));
         } else if reason(state, &mut instance.clone()).is_some() {
             events.push(Event::Begin(index));
         }
@@ -283,6 +295,14 @@
                 }
             }
         }
+        if state.losses < self.limits.losses {
+            for server in 0..SERVERS {
+                let server_state = &state.cluster.servers[server];
+                if server_state.has_joined {
+                    events.extend([Event::Vanish(server), Event::Wipe(server)]);
+                }
+            }
+        }
         if self.limits.has_returns {
             events.extend((0..state.table.copies.len()).map(Event::Return));
         }
@@ -313,6 +333,16 @@
                 let is_forgotten = self.limits.is_demotion_forgotten;
                 state.cluster.restart(server, is_forgotten);
             }
+            Event::Vanish(server) => {
+                state.losses += 1;
+                let server = &mut state.cluster.servers[server];
+                server.is_up = false;
+                server.is_gone = true;
+            }
+            Event::Wipe(server) => {
+                state.losses += 1;
+                state.cluster.wipe(server);
+            }
             Event::Join => {
                 state.changes += 1;
                 let server = &mut state.cluster.servers[SERVERS - 1];
@@ -343,20 +373,16 @@
                     state.apply_read(instance, begun, &content);
                 }
             }
-            Event::Carry(call) => match state.late.remove(call) {
-                Late::Write(expected, lease) => {
-                    state.table.write(expected, &lease);
-                }
-                Late::Order(order) => {
-                    state.cluster.order(fencing, order, true);
-                }
-            },
+            Event::Carry(call) => {
+                let call = state.late.remove(call);
+                state.carry(fencing, call);
+            }
             Event::Send(instance) => commit::send(state, instance),
             Event::Receive(server) => {
                 state.cluster.receive(server);
                 commit::confirm(state, server);
             }
-            Event::Answer(number) => state.commits[number].stage = Stage::Answered,
+            Event::Answer(number) => commit::answer(state, number, self.limits.has_ends),
             Event::Lose(number) => state.commits[number].stage = Stage::InDoubt,
             Event::Begin(instance) => {
                 if let Some(reason) = observe(state, instance) {
@@ -378,9 +404,7 @@
     pub fn run(&self, state: &mut State, instance: usize) {
         let knows = std::array::from_fn(|server| state.cluster.servers[server].has_joined);
         let incarnation = state.instances[instance].incarnation + 2;
-        let follows = self.rules.follows_rows();
-        state.instances[instance] =
-            Instance::open(state.now, incarnation, knows, follows, self.rules.fencing);
+        state.instances[instance] = Instance::open(state.now, incarnation, knows, &self.rules);
     }
 
     pub fn pass(&self, state: &mut State, span: Span) {
@@ -434,6 +458,8 @@
         | Event::CutTable(_)
         | Event::Crash(_)
         | Event::Restart(_)
+        | Event::Vanish(_)
+        | Event::Wipe(_)
         | Event::Freeze(_)
         | Event::Kill(_)
         | Event::Return(_)
