Model a server that is back under another id at its address

A crashed server may be back with its log under another id, and one that took its address over may lack the log. Both happen in the model now as an option (`Limits::has_moves`), together with a lost log in the tests of those.

Also new: the trace of six events in which an instance that doesn't reach the primary has it demoted through the other one, after it started again without its log; the position 0 of its answer counts as the end of its log (LOST).

--- a/crates/relay/tests/model/calm.rs
+++ b/crates/relay/tests/model/calm.rs
@@ -36,10 +36,9 @@
             instance.is_frozen = false;
             instance.reaches = [true; SERVERS];
             instance.reaches_table = true;
-            if state.cluster.servers[SERVERS - 1].has_joined {
-                instance.knows[SERVERS - 1] = true;
-            }
-            if instance.unread.is_some() {
+            let is_unread = instance.unread.is_some();
+            state.learn(index);
+            if is_unread {
                 self.change(state, Event::Arrive(index));
             }
         }
--- a/crates/relay/tests/model/cluster.rs
+++ b/crates/relay/tests/model/cluster.rs
@@ -117,6 +117,8 @@
     pub leader: usize,
     /// The term in which it leads.
     term: u64,
+    /// The server at whose address the last one has joined, with its log.
+    pub moved: Option<usize>,
     /// The log of `leader` if that has lost it.
     lost: Option<Vec<(u64, usize)>>,
     /// The accepted orders that have not taken effect.
@@ -144,6 +146,7 @@
             servers: std::array::from_fn(server),
             leader: 0,
             term: FIRST_TERM,
+            moved: None,
             lost: None,
             orders: Vec::new(),
             tokens: Vec::new(),
@@ -265,6 +268,19 @@
         };
     }
 
+    /// Starts a crashed server under the id of the one that joins, at its address and with its log.
+    pub fn move_to_joiner(&mut self, server: usize, is_demotion_forgotten: bool) {
+        let joiner = SERVERS - 1;
+        self.servers[joiner] = self.servers[server].clone();
+        self.servers[server].has_joined = false;
+        self.servers[server].is_gone = true;
+        self.moved = Some(server);
+        if self.leader == server {
+            self.leader = joiner;
+        }
+        self.restart(joiner, is_demotion_forgotten);
+    }
+
     /// Restarts a server, which forgets its pause.
     pub fn restart(&mut self, server: usize, is_demotion_forgotten: bool) {
         let was_primary = self.servers[server].is_primary;
--- a/crates/relay/tests/model/commit.rs
+++ b/crates/relay/tests/model/commit.rs
@@ -4,7 +4,6 @@
 use endpoint::Position;
 use relay::group::Acknowledgement;
 
-use crate::cluster;
 use crate::cluster::Command;
 use crate::cluster::SERVERS;
 use crate::rules::Rules;
@@ -125,9 +124,12 @@
     if !rules.has_lease {
         return Some(Stage::Acknowledged);
     }
-    let lease = &state.instances[commit.instance].lease;
-    let address = Some(cluster::address(commit.server));
-    match lease.acknowledgement(state.now, commit.token, address, commit.position) {
+    let instance = &state.instances[commit.instance];
+    let address = Some(instance.address_of(commit.server));
+    match instance
+        .lease
+        .acknowledgement(state.now, commit.token, address, commit.position)
+    {
         Acknowledgement::Safe => Some(Stage::Acknowledged),
         Acknowledgement::Doubtful => Some(Stage::InDoubt),
         Acknowledgement::Undecided => None,
--- a/crates/relay/tests/model/instance.rs
+++ b/crates/relay/tests/model/instance.rs
@@ -63,6 +63,8 @@
     pub reaches_table: bool,
     /// Which servers it knows.
     pub knows: [bool; SERVERS],
+    /// The server in place of which it knows the one that joined.
+    pub moved: Option<usize>,
     pub leadership: Leadership,
     pub lease: LeaderLease,
     /// The newest lease that it has read or written.
@@ -94,6 +96,7 @@
             reaches: [true; SERVERS],
             reaches_table: true,
             knows,
+            moved: None,
             leadership: Leadership::default(),
             lease: LeaderLease::default(),
             newest: None,
@@ -219,9 +222,25 @@
         }
     }
 
+    /// Returns a server's address.
+    pub fn address_of(&self, server: usize) -> SocketAddr {
+        let moved = self.moved.filter(|_| server + 1 == SERVERS);
+        cluster::address(moved.unwrap_or(server))
+    }
+
+    /// Learns of the server that joined, in place of `moved` at whose address it runs.
+    pub fn on_joined(&mut self, moved: Option<usize>) {
+        self.knows[SERVERS - 1] = true;
+        self.moved = moved;
+        if let Some(moved) = moved {
+            self.knows[moved] = false;
+            self.leadership.on_not_leader(&cluster::name(moved));
+        }
+    }
+
     /// Returns whether a server that acts as primary can be the current one.
     fn admits(&self, server: usize) -> bool {
-        self.is_fenced || self.lease.admits(cluster::address(server))
+        self.is_fenced || self.lease.admits(self.address_of(server))
     }
 
     /// Applies a server's proof that it leads.
--- a/crates/relay/tests/model/promotion.rs
+++ b/crates/relay/tests/model/promotion.rs
@@ -171,7 +171,8 @@
     /// Lets the instances that hear it rely on the leader.
     fn settle(&mut self, scene: &mut Scene<'_>, leader: usize) {
         let claim = self.claim.as_mut().expect("the claim is held");
-        claim.lease.leader = Some(cluster::address(leader));
+        let instance = &scene.state.instances[scene.instance];
+        claim.lease.leader = Some(instance.address_of(leader));
         claim.lease.requested = None;
         if !scene.rules.follows_rows() {
             return;
--- a/crates/relay/tests/model/replacement.rs
+++ b/crates/relay/tests/model/replacement.rs
@@ -387,9 +387,9 @@
         let lease = &self.claim.as_ref().expect("the claim is held").lease;
         self.was_replaced = lease.leader.is_some() || lease.requested.is_some();
         if let Some(address) = lease.leader {
-            let knows = scene.state.instances[scene.instance].knows;
-            let appointed =
-                (0..SERVERS).find(|server| knows[*server] && cluster::address(*server) == address);
+            let instance = &scene.state.instances[scene.instance];
+            let appointed = (0..SERVERS)
+                .find(|server| instance.knows[*server] && instance.address_of(*server) == address);
             if self.old.is_some() && appointed.is_some() && self.old != appointed {
                 return false;
             }
@@ -404,8 +404,9 @@
 
     pub fn believe(&self, scene: &mut Scene<'_>, server: Option<usize>) {
         if scene.rules.follows_rows() {
-            let lease = &mut scene.state.instances[scene.instance].lease;
-            lease.set_candidate(server.map(cluster::address));
+            let instance = &mut scene.state.instances[scene.instance];
+            let address = server.map(|server| instance.address_of(server));
+            instance.lease.set_candidate(address);
         }
     }
 
--- a/crates/relay/tests/model/rules.rs
+++ b/crates/relay/tests/model/rules.rs
@@ -82,6 +82,9 @@
     /// Servers that end for good or lose their log. More than one may take an acknowledged commit with
     /// them.
     pub losses: u8,
+    /// Whether a crashed server may be back with its log under another id at its address, in place of the
+    /// server that joins.
+    pub has_moves: bool,
     /// Whether an order may reach the platform after its sender has given it up.
     pub has_delayed_orders: bool,
     /// Whether commands to servers may be carried out after their sender has given them up.
@@ -104,6 +107,7 @@
             is_demotion_forgotten: false,
             has_ends: false,
             losses: 0,
+            has_moves: false,
             has_delayed_orders: false,
             has_late_commands: false,
         }
@@ -124,6 +128,7 @@
             is_demotion_forgotten: false,
             has_ends: false,
             losses: 0,
+            has_moves: false,
             has_delayed_orders: false,
             has_late_commands: false,
         }
--- a/crates/relay/tests/model/rules_hold.rs
+++ b/crates/relay/tests/model/rules_hold.rs
@@ -77,12 +77,13 @@
 }
 
 /// Guards against the loss of commits, or of the group, with one server that never runs again or starts
-/// again without its log.
+/// again without its log, also under another id at its address.
 #[test_case(Fencing::Enforced; "enforced")]
 #[test_case(Fencing::Unchecked; "unchecked")]
 fn a_lost_log_breaks_nothing(fencing: Fencing) {
     let limits = Limits {
         losses: 1,
+        has_moves: true,
         ..Limits::many()
     };
     walk_randomly(fencing, limits);
@@ -101,6 +102,18 @@
     walk_randomly(fencing, limits);
 }
 
+/// Guards against a group that follows an id or an address: a crashed server is back with its log under
+/// another id at its address.
+#[test_case(Fencing::Enforced; "enforced")]
+#[test_case(Fencing::Unchecked; "unchecked")]
+fn a_moved_log_breaks_nothing(fencing: Fencing) {
+    let limits = Limits {
+        has_moves: true,
+        ..Limits::many()
+    };
+    walk_randomly(fencing, limits);
+}
+
 /// Guards against an order that reaches the platform after those of a newer holder.
 #[test]
 fn a_delayed_order_breaks_nothing() {
@@ -238,6 +251,50 @@
     assert_eq!(replay(&world, &events), Ok(None));
 }
 
+/// Guards against a loss where the answer of a primary that started again without its log, to a command of
+/// an instance that had seen it lead, counts as the end of its log.
+#[test_case(Fencing::Enforced; "enforced")]
+#[test_case(Fencing::Unchecked; "unchecked")]
+fn an_empty_log_is_not_the_end_of_the_former_one(fencing: Fencing) {
+    let world = World {
+        rules: Rules::all(fencing),
+        limits: Limits {
+            losses: 1,
+            ..Limits::many()
+        },
+    };
+    let events = [
+        Event::Cut(1, 0),
+        Event::Pass,
+        Event::Send(0),
+        Event::Receive(2),
+        Event::Answer(0),
+        Event::Wipe(0),
+    ];
+    assert_eq!(replay(&world, &events), Ok(None));
+}
+
+/// Guards against a primary that is lost to its group when it is back under another id.
+#[test_case(Fencing::Enforced; "enforced")]
+#[test_case(Fencing::Unchecked; "unchecked")]
+fn a_primary_that_is_back_under_another_id_leads(fencing: Fencing) {
+    let world = World {
+        rules: Rules::all(fencing),
+        limits: Limits {
+            has_moves: true,
+            ..Limits::many()
+        },
+    };
+    let events = [
+        Event::Send(0),
+        Event::Receive(1),
+        Event::Answer(0),
+        Event::Crash(0),
+        Event::Move(0),
+    ];
+    assert_eq!(replay(&world, &events), Ok(None));
+}
+
 /// Returns a world under `rules`, with events in which an order was given up and arrives after that of the
 /// next holder, unless it can't arrive any more.
 pub fn delayed_order(rules: Rules) -> (World, Vec<Event>) {
--- a/crates/relay/tests/model/state.rs
+++ b/crates/relay/tests/model/state.rs
@@ -112,9 +112,9 @@
         if !self.instances[instance].reaches_table {
             return;
         }
-        for server in 0..SERVERS {
-            let has_joined = self.cluster.servers[server].has_joined;
-            self.instances[instance].knows[server] |= has_joined;
+        let knows_joiner = self.instances[instance].knows[SERVERS - 1];
+        if self.cluster.servers[SERVERS - 1].has_joined && !knows_joiner {
+            self.instances[instance].on_joined(self.cluster.moved);
         }
     }
 
--- a/crates/relay/tests/model/world.rs
+++ b/crates/relay/tests/model/world.rs
@@ -43,6 +43,8 @@
     Start(usize),
     /// A replica restarts and forgets its pause.
     Restart(usize),
+    /// A crashed server is back under another id.
+    Move(usize),
     /// A server ends for good.
     Vanish(usize),
     /// A server starts again without its log.
@@ -139,6 +141,9 @@
             let server_state = &state.cluster.servers[server];
             if server_state.has_joined && !server_state.is_up && !server_state.is_gone {
                 events.push(Event::Start(server));
+                if self.limits.has_moves && !state.cluster.servers[SERVERS - 1].has_joined {
+                    events.push(Event::Move(server));
+                }
             }
         }
         if state.are_peers_cut && self.limits.is_fine {
@@ -343,6 +348,10 @@
                 state.losses += 1;
                 state.cluster.wipe(server);
             }
+            Event::Move(server) => {
+                let is_forgotten = self.limits.is_demotion_forgotten;
+                state.cluster.move_to_joiner(server, is_forgotten);
+            }
             Event::Join => {
                 state.changes += 1;
                 let server = &mut state.cluster.servers[SERVERS - 1];
@@ -404,7 +413,9 @@
     pub fn run(&self, state: &mut State, instance: usize) {
         let knows = std::array::from_fn(|server| state.cluster.servers[server].has_joined);
         let incarnation = state.instances[instance].incarnation + 2;
-        state.instances[instance] = Instance::open(state.now, incarnation, knows, &self.rules);
+        let mut started = Instance::open(state.now, incarnation, knows, &self.rules);
+        started.moved = state.cluster.moved;
+        state.instances[instance] = started;
     }
 
     pub fn pass(&self, state: &mut State, span: Span) {
