--- a/crates/relay/tests/model/commit.rs
+++ b/crates/relay/tests/model/commit.rs
@@ -4,7 +4,6 @@
 use endpoint::Position;
 use relay::group::Acknowledgement;
 
-use crate::cluster;
 use crate::cluster::Command;
 use crate::cluster::SERVERS;
 use crate::rules::Rules;
@@ -82,6 +81,18 @@
     }
 }
 
+/// Has the primary's answer arrive. The primary may have written it any time after the replica received
+/// the commit, with the end that its log had by then if `has_ends` is set.
+pub fn answer(state: &mut State, number: usize, has_ends: bool) {
+    let commit = &mut state.commits[number];
+    commit.stage = Stage::Answered;
+    let server = &state.cluster.servers[commit.server];
+    let holds = server.log.iter().any(|(_, received)| *received == number);
+    if has_ends && server.is_up && server.is_primary && holds {
+        commit.position = server.received();
+    }
+}
+
 /// Acknowledges the commits whose instances may do so now.
 pub fn settle(rules: &Rules, state: &mut State) {
     for number in 0..state.commits.len() {
@@ -113,9 +124,12 @@
     if !rules.has_lease {
         return Some(Stage::Acknowledged);
     }
-    let lease = &state.instances[commit.instance].lease;
-    let address = Some(cluster::address(commit.server));
-    match lease.acknowledgement(state.now, commit.token, address, commit.position) {
+    let instance = &state.instances[commit.instance];
+    let address = Some(instance.address_of(commit.server));
+    match instance
+        .lease
+        .acknowledgement(state.now, commit.token, address, commit.position)
+    {
         Acknowledgement::Safe => Some(Stage::Acknowledged),
         Acknowledgement::Doubtful => Some(Stage::InDoubt),
         Acknowledgement::Undecided => None,
--- a/crates/relay/tests/model/instance.rs
+++ b/crates/relay/tests/model/instance.rs
@@ -18,13 +18,13 @@
 use relay::group::LeaderLease;
 use relay::group::Leadership;
 use relay::group::Proof;
-use relay::node::Fencing;
 use relay::peers::View;
 use store::Row;
 
 use crate::cluster;
 use crate::cluster::SERVERS;
 use crate::replacement::Replacement;
+use crate::rules::Rules;
 use crate::table::Content;
 use crate::table::row;
 
@@ -63,6 +63,8 @@
     pub reaches_table: bool,
     /// Which servers it knows.
     pub knows: [bool; SERVERS],
+    /// The server in place of which it knows the one that joined.
+    pub moved: Option<usize>,
     pub leadership: Leadership,
     pub lease: LeaderLease,
     /// The newest lease that it has read or written.
@@ -72,6 +74,7 @@
     /// A row that was read and arrives later, with the start of the call.
     pub unread: Option<(Time, Content)>,
     registered_since: Option<Time>,
+    has_recheck: bool,
     pub recheck: Recheck,
     detector: Detector,
     /// When the primary last answered.
@@ -81,30 +84,26 @@
 
 impl Instance {
     /// Starts an instance at `now`.
-    pub fn open(
-        now: Time,
-        incarnation: u64,
-        knows: [bool; SERVERS],
-        follows_rows: bool,
-        fencing: Fencing,
-    ) -> Self {
+    pub fn open(now: Time, incarnation: u64, knows: [bool; SERVERS], rules: &Rules) -> Self {
         let mut recheck = Recheck::default();
         recheck.on_replacement(now);
         Self {
             incarnation,
             is_up: true,
             is_frozen: false,
-            follows_rows,
-            is_fenced: fencing == Fencing::Enforced,
+            follows_rows: rules.follows_rows(),
+            is_fenced: !rules.is_unchecked(),
             reaches: [true; SERVERS],
             reaches_table: true,
             knows,
+            moved: None,
             leadership: Leadership::default(),
             lease: LeaderLease::default(),
             newest: None,
             seen: None,
             unread: None,
             registered_since: None,
+            has_recheck: rules.has_recheck,
             recheck,
             detector: Detector::default(),
             replied_at: now,
@@ -223,9 +222,25 @@
         }
     }
 
+    /// Returns a server's address.
+    pub fn address_of(&self, server: usize) -> SocketAddr {
+        let moved = self.moved.filter(|_| server + 1 == SERVERS);
+        cluster::address(moved.unwrap_or(server))
+    }
+
+    /// Learns of the server that joined, in place of `moved` at whose address it runs.
+    pub fn on_joined(&mut self, moved: Option<usize>) {
+        self.knows[SERVERS - 1] = true;
+        self.moved = moved;
+        if let Some(moved) = moved {
+            self.knows[moved] = false;
+            self.leadership.on_not_leader(&cluster::name(moved));
+        }
+    }
+
     /// Returns whether a server that acts as primary can be the current one.
     fn admits(&self, server: usize) -> bool {
-        self.is_fenced || self.lease.admits(cluster::address(server))
+        self.is_fenced || self.lease.admits(self.address_of(server))
     }
 
     /// Applies a server's proof that it leads.
@@ -278,7 +293,7 @@
         let reason = self.detector.step(now, &observation);
         // The check is due until it is begun.
         let mut recheck = self.recheck;
-        let is_due = recheck.step(now);
+        let is_due = self.has_recheck && recheck.step(now);
         reason.or_else(|| (is_due && self.leader().is_some()).then_some(Reason::Unfinished))
     }
 
