Keep a session's token in the term of the present leader's log

Cause: took a token in the term of the former leader's log for one of lost records. A primary that crashed is back under another id and goes on in its term; its newer commits were then covered by the first position that it had shown.

Change: only tokens of other terms than that of the present log are covered by its first position. The test a_token_past_the_end_of_the_next_log_is_covered_by_its_first_position of demanded the fault; the one that replaces it demands that tokens in the term of the log are kept, and failed before (1/60 instead of 1/62).

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -336,19 +336,16 @@
             Takeover::Acquired(claim) => claim,
         };
         let token = claim.lease.token;
-        let tenures = &self.node.leases.tenures;
+        let (node, group) = (self.node, self.group);
         let finished = self.finish(&mut claim);
-        if tenures
-            .run(&self.group.name, token, finished)
-            .await
-            .is_none()
-        {
+        let tenures = &node.leases.tenures;
+        if tenures.run(&group.name, token, finished).await.is_none() {
             self.on_superseded(token);
         }
     }
 
     /// Finds the leader of a replacement that was taken over, and resumes the replicas.
-    async fn finish(&self, claim: &mut Claim) {
+    async fn finish(&mut self, claim: &mut Claim) {
         let leader = self.recovered_primary(claim).await;
         log::info!(
             "event=failover-finished group={} leader={} token={}",
--- a/crates/relay/src/group/leadership.rs
+++ b/crates/relay/src/group/leadership.rs
@@ -39,7 +39,8 @@
     log_term: u64,
     /// The newest term in which the log of an earlier leader ended.
     ///
-    /// Invariant: every commit in a term up to this one precedes the first of `samples`.
+    /// Invariant: every commit in a term up to this one, other than `log_term`, precedes the first of
+    /// `samples`.
     ended_term: u64,
     /// The latest reign of an accepted proof, where proofs name one.
     reign: u64,
@@ -198,11 +199,11 @@
         let first = self.samples.front()?.position;
         let newest = self.samples.back()?.position;
         let is_of_earlier_leader = seen.term <= self.ended_term;
-        if seen.term < newest.term || (is_of_earlier_leader && seen > first) {
+        if seen.term < newest.term || (is_of_earlier_leader && seen.term > newest.term) {
             return Some(first);
         }
-        // In a later term the record may be the leader's own or lost; in the term of the leader's
-        // log its samples are only a little older.
+        // In a later term the record may be the leader's own or lost. In the term of the leader's log
+        // it may be newer than the samples: a primary that is back under another id goes on in its term.
         (seen.term == newest.term).then_some(seen)
     }
 }
--- a/crates/relay/tests/relay/leadership.rs
+++ b/crates/relay/tests/relay/leadership.rs
@@ -217,16 +217,17 @@
     );
 }
 
-/// Guards against the same where the records were lost in the term in which the next log ends.
+/// Guards against a read that lacks a commit of its session: a primary that is back under another id goes
+/// on in its term, where an instance hasn't seen its newest commits.
 #[test]
-fn a_token_past_the_end_of_the_next_log_is_covered_by_its_first_position() {
+fn a_token_in_the_term_of_the_next_log_is_kept() {
     let mut leadership = Leadership::default();
     leadership.on_proof(&server("a"), proof(100, position(1, 60)));
-    leadership.on_proof(&server("b"), proof(500, position(1, 57)));
-    assert_eq!(
-        leadership.covering_position(position(1, 60)),
-        Some(position(1, 57))
-    );
+    leadership.on_proof(&server("b"), proof(500, position(1, 60)));
+    leadership.on_proof(&server("b"), proof(600, position(1, 64)));
+    for token in [position(1, 60), position(1, 62), position(1, 66)] {
+        assert_eq!(leadership.covering_position(token), Some(token));
+    }
 }
 
 /// Guards against a read that lacks a commit of its session: in the leader's own term its position may
