End a replacement once a newer one is known

A holder that confirmed to a newer replacement that it relies on the primary no more went on with its own replacement: orders, PAUSE, DEMOTE and RESUME, until its next write of the group's row failed, up to 2 s later for orders and many seconds for RESUME.

Evidence: nothing_is_ordered_after_a_newer_replacement_was_confirmed saw 14 more orders of the former holder in the 1.5 s after its confirmation on.

Change: failover::Tenures holds the highest token that an instance has learned of, by a row or by EndReliance, and drops a replacement with a lower one at once, which resets its orders and closes the connections of its commands. RelianceEnded is sent only after that. A new claim takes a token above every one learned. The order of steps of a replacement that isn't superseded is the same.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -134,7 +134,9 @@
         let is_predecessor_unfinished = before
             .as_ref()
             .is_some_and(|lease| lease.phase == Phase::Working);
-        let known_token = known_token.max(before.as_ref().map_or(0, |before| before.token));
+        let known_token = known_token
+            .max(node.leases.tenures.newest(&group.name))
+            .max(before.as_ref().map_or(0, |before| before.token));
         let token = Lease::next_token(node.dependencies.table.era(), row.as_ref(), known_token);
         let has_request = before
             .as_ref()
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -16,6 +16,7 @@
 use store::Write;
 use store::version;
 
+use crate::failover::Tenures;
 use crate::failover::row;
 use crate::group::Appointment;
 use crate::node::lock;
@@ -167,11 +168,14 @@
     seen: Mutex<BTreeMap<Arc<str>, (u64, Time)>>,
     /// The newest lease of each group that this instance has read or written.
     newest: Mutex<BTreeMap<Arc<str>, Lease>>,
+    /// Ends replacements of this instance once newer ones are known.
+    pub tenures: Tenures,
 }
 
 impl Leases {
     /// Records a lease that this instance has read or written, unless a newer one is known.
     pub fn on_lease(&self, group: &Arc<str>, lease: &Lease) {
+        self.tenures.on_token(group, lease.token);
         let mut newest = lock(&self.newest);
         let known = newest.get(group).map_or(0, |known| known.token);
         if lease.token >= known {
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -16,6 +16,7 @@
 mod revocation;
 mod row;
 mod survey;
+mod tenures;
 
 pub use check::check;
 pub use command::demote;
@@ -39,3 +40,4 @@
 pub use row::Rows;
 pub use survey::Choice;
 pub use survey::Survey;
+pub use tenures::Tenures;
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -48,7 +48,7 @@
 
 impl Validity for Term<'_> {
     fn may_send(&self) -> bool {
-        let is_newest = self.node.leases.newest_token(&self.order.group) <= self.order.token;
+        let is_newest = self.node.leases.tenures.newest(&self.order.group) <= self.order.token;
         is_newest && self.node.now() < self.send_deadline
     }
 
@@ -158,7 +158,7 @@
             order.server,
             order.token,
             claim.age(self.node.now()).as_millis(),
-            self.node.leases.newest_token(&order.group)
+            self.node.leases.tenures.newest(&order.group)
         );
     }
 
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -161,7 +161,11 @@
         }
         let token = claim.lease.token;
         self.retirement = Some(Retirement::open(self.node, self.group, token).await);
-        let promoted = self.replace(&mut claim, acknowledged).await;
+        let (node, group) = (self.node, self.group);
+        let tenures = &node.leases.tenures;
+        let replaced = self.replace(&mut claim, acknowledged);
+        let replaced = tenures.run(&group.name, token, replaced).await;
+        let promoted = replaced.flatten();
         log::info!(
             "event=failover-ended group={} promoted={} token={} ms={}",
             self.group.name,
@@ -169,18 +173,37 @@
             claim.lease.token,
             self.node.now().since(begun).as_millis()
         );
-        if let Some(leader) = &promoted {
-            let promotion = self.promotion();
-            promotion.settle(&mut claim, leader).await;
-            promotion.announce(leader).await;
-            join(promotion.record(&mut claim), self.resume(leader)).await;
+        let concluded = self.conclude(&mut claim, promoted.as_ref());
+        if tenures.run(&group.name, token, concluded).await.is_none() {
+            self.on_superseded(token);
         }
-        self.release(&mut claim, promoted.is_some()).await;
         self.group
             .change_leader_lease(|lease| lease.set_candidate(None));
         self.node.leader_appointed.notify_one();
     }
 
+    /// Lets the instances rely on the leader again and releases the lease.
+    async fn conclude(&self, claim: &mut Claim, promoted: Option<&Arc<str>>) {
+        if let Some(leader) = promoted {
+            let promotion = self.promotion();
+            promotion.settle(claim, leader).await;
+            promotion.announce(leader).await;
+            join(promotion.record(claim), self.resume(leader)).await;
+        }
+        self.release(claim, promoted.is_some()).await;
+    }
+
+    /// Records that the replacement was ended as another instance has begun a newer one.
+    fn on_superseded(&self, token: u64) {
+        log::info!(
+            "event=failover-superseded group={} token={token} newest_token={}",
+            self.group.name,
+            self.node.leases.tenures.newest(&self.group.name)
+        );
+        // Replicas that it has paused may not be known to the other instance.
+        lock(&self.group.recheck).on_failed(self.node.now());
+    }
+
     /// Records that the other instances' views speak against a replacement.
     fn put_off(&self, opinion: &Opinion) {
         log::info!(
@@ -266,7 +289,21 @@
             }
             Takeover::Acquired(claim) => claim,
         };
-        let leader = self.recovered_primary(&mut claim).await;
+        let token = claim.lease.token;
+        let tenures = &self.node.leases.tenures;
+        let finished = self.finish(&mut claim);
+        if tenures
+            .run(&self.group.name, token, finished)
+            .await
+            .is_none()
+        {
+            self.on_superseded(token);
+        }
+    }
+
+    /// Finds the leader of a replacement that was taken over, and resumes the replicas.
+    async fn finish(&self, claim: &mut Claim) {
+        let leader = self.recovered_primary(claim).await;
         log::info!(
             "event=failover-finished group={} leader={} token={}",
             self.group.name,
@@ -274,10 +311,10 @@
             claim.lease.token
         );
         if let Some(leader) = &leader {
-            self.promotion().settle(&mut claim, leader).await;
+            self.promotion().settle(claim, leader).await;
             self.resume(leader).await;
         }
-        self.release(&mut claim, leader.is_some()).await;
+        self.release(claim, leader.is_some()).await;
     }
 
     /// Writes the outcome to the lease. An unsettled failover may have left a pending promotion and
--- a/crates/relay/src/peers/peers.rs
+++ b/crates/relay/src/peers/peers.rs
@@ -307,9 +307,19 @@
                     );
                 }
                 group.revoke_leader_lease(token);
-                let acknowledged = lock(&group.leadership).acknowledged();
-                let payload = Payload::RelianceEnded { id, acknowledged };
-                node.peers.send(node, address, payload).await;
+                let tenures = &node.leases.tenures;
+                tenures.on_token(&group.name, token);
+                if !tenures.is_older_running(&group.name, token) {
+                    confirm_end(node, &group, address, id).await;
+                    return;
+                }
+                let node = Arc::clone(node);
+                tokio::spawn(async move {
+                    // Its orders and commands must not follow those of the sender.
+                    let tenures = &node.leases.tenures;
+                    tenures.wait_for_end(&group.name, token).await;
+                    confirm_end(&node, &group, address, id).await;
+                });
             }
         }
         Payload::ReplacementSettled {
@@ -472,6 +482,13 @@
     }
 }
 
+/// Confirms that this instance relies on a group's leader no more.
+async fn confirm_end(node: &Node, group: &Group, address: SocketAddr, id: u64) {
+    let acknowledged = lock(&group.leadership).acknowledged();
+    let payload = Payload::RelianceEnded { id, acknowledged };
+    node.peers.send(node, address, payload).await;
+}
+
 /// Logs what a view rests on; it names a leader only if the newest proof is recent.
 fn log_view(node: &Node, group: &Group, from: &Arc<str>) {
     let leadership = lock(&group.leadership).clone();
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -33,6 +33,7 @@
 mod stops;
 mod store_calls;
 mod store_return;
+mod superseded;
 mod survey;
 mod upgrade;
 mod warmup;
