--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -19,6 +19,7 @@
 mod row;
 mod survey;
 mod tenures;
+mod unanswered;
 
 pub use bound::Bound;
 pub use check::check;
@@ -44,3 +45,5 @@
 pub use survey::Choice;
 pub use survey::Survey;
 pub use tenures::Tenures;
+pub use unanswered::Tracker;
+pub use unanswered::Unanswered;
