Count an unknown primary as a holder of commits

Evidence: a_primary_that_is_away_for_long_still_counts_as_a_holder, cases with a restart: b, which lacked the commit, was promoted 30 s after the start before; now nobody is until the replica with the commit answers.

Change: while an instance neither saw a leader proven, nor knows an entry that says primary, nor has the holders of an unfinished replacement from the row, an unknown primary counts as one holder more.

Not covered: a restart of all instances before the first claim also loses which removed replicas and earlier runs may hold commits, and the bound; a deposed primary's entry may still say primary.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -32,6 +32,7 @@
 use crate::failover::registrations;
 use crate::group::Group;
 use crate::group::Server;
+use crate::group::UNKNOWN_PRIMARY;
 use crate::message::Statement;
 use crate::node::Fencing;
 use crate::node::Node;
@@ -353,6 +354,7 @@
     fn knows_membership(&self) -> bool {
         let now = self.node.now();
         let mut known = self.group.commit_holders();
+        known.remove(UNKNOWN_PRIMARY);
         let unfinished = self.node.leases.newest(&self.group.name);
         if let Some(lease) = unfinished.filter(|lease| lease.phase != Phase::Done) {
             known.extend(lease.commit_holders);
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -90,6 +90,10 @@
     }
 }
 
+/// The name under which the primary counts as a possible holder of commits while it is not known which
+/// server that is.
+pub const UNKNOWN_PRIMARY: &str = "@";
+
 /// Returns the name under which an earlier run of a server counts as a possible holder of commits.
 fn run_name(server: &str, born: u64) -> Arc<str> {
     Arc::from(format!("{server}@{born}"))
@@ -111,6 +115,8 @@
     servers: Mutex<BTreeMap<Arc<str>, Arc<Server>>>,
     /// The server that was proven to lead last, and when that run of it started.
     led: Mutex<Option<(Arc<str>, u64)>>,
+    /// Whether another instance's list of holders was added, which has the primary.
+    has_restored_holders: AtomicBool,
     /// When the latest commit was sent that is known to have been acknowledged, also by other instances.
     committed_at: Mutex<Time>,
     /// The commit that this instance acknowledged last.
@@ -164,6 +170,7 @@
             fencing,
             servers: Mutex::default(),
             led: Mutex::default(),
+            has_restored_holders: AtomicBool::new(false),
             committed_at: Mutex::default(),
             last_commit: Mutex::default(),
             removed: Mutex::default(),
@@ -365,9 +372,26 @@
         drop(removed);
         self.drop_holders();
         holders.extend(lock(&self.removed).keys().cloned());
+        if is_replicated && !self.knows_primary() {
+            // Each commit that was acknowledged before this instance started is in its log.
+            holders.insert(Arc::from(UNKNOWN_PRIMARY));
+        }
         holders
     }
 
+    /// Returns whether the primary, or the last one, is among the known holders.
+    fn knows_primary(&self) -> bool {
+        let is_primary = |entry: &settings::Server| entry.role == Role::Primary;
+        let is_registered = lock(&self.servers)
+            .values()
+            .any(|server| is_primary(&lock(&server.entry)));
+        let was_registered = lock(&self.removed)
+            .values()
+            .any(|server| server.entry.as_ref().is_some_and(is_primary));
+        let has_restored = self.has_restored_holders.load(Ordering::Relaxed);
+        is_registered || was_registered || has_restored || lock(&self.led).is_some()
+    }
+
     /// Returns the possible holders of commits that are gone, each with a position that the primary's
     /// log reached afterwards. A log that reaches it has every commit that such a server confirmed.
     pub fn covered_holders(&self) -> BTreeMap<Arc<str>, Position> {
@@ -484,6 +508,9 @@
 
     /// Adds servers that another instance listed as possible holders of commits.
     pub fn restore_holders(&self, names: &BTreeSet<Arc<str>>) {
+        if !names.is_empty() {
+            self.has_restored_holders.store(true, Ordering::Relaxed);
+        }
         let at = self.clock.now();
         let servers = lock(&self.servers);
         let mut removed = lock(&self.removed);
--- a/crates/relay/src/group/mod.rs
+++ b/crates/relay/src/group/mod.rs
@@ -10,6 +10,7 @@
 
 pub use acknowledgement::Acknowledgement;
 pub use group::Group;
+pub use group::UNKNOWN_PRIMARY;
 pub use health::Health;
 pub use last_commit::LastCommit;
 pub use leader_lease::Appointment;
--- a/crates/relay/tests/relay/commit_holders.rs
+++ b/crates/relay/tests/relay/commit_holders.rs
@@ -125,11 +125,13 @@
 
 /// Half a minute after its entry had expired a crashed primary was no longer counted, so one replica
 /// that did not answer was left out although it alone held a commit.
-#[test_case(World::open(); "fences are checked")]
-#[test_case(World::open_unchecked(); "fences are unchecked")]
+#[test_case(World::open(), false; "fences are checked")]
+#[test_case(World::open_unchecked(), false; "fences are unchecked")]
+#[test_case(World::open(), true; "the instance starts again and fences are checked")]
+#[test_case(World::open_unchecked(), true; "the instance starts again and fences are unchecked")]
 #[tokio::test(start_paused = true)]
-async fn a_primary_that_is_away_for_long_still_counts_as_a_holder(world: World) {
-    let instance = world.start("i1").await;
+async fn a_primary_that_is_away_for_long_still_counts_as_a_holder(world: World, restarts: bool) {
+    let mut instance = world.start("i1").await;
     let client = commit_without_b(&world, &instance).await;
     drop(client);
     world.group.crash("a");
@@ -137,6 +139,11 @@
     world.group.set_silent("c", true);
     world.group.isolate("b", false);
     remove_entry(&world, "a");
+    sleep(Duration::from_secs(8)).await;
+    if restarts {
+        instance.crash().await;
+        instance = world.spawn("i1");
+    }
     sleep(LONG_OUTAGE).await;
     assert_nobody_promoted(&world);
     // The replica answers again, so its log can be read.
