Warn of replacements of a primary that end without a result

New: the counter failovers_unsuccessful and a warning failover-unsuccessful with the number in succession, what was missing last and the servers' answers. Together with failover_waits by reason these show such a loop.

Not done: callers of such a group still wait for their deadlines in place of being rejected at once.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -91,6 +91,8 @@
     term_raises: u64,
     /// The term of the last attempt's pause and demote commands.
     command_term: u64,
+    /// What was missing in the last attempt, for the log.
+    missing: &'static str,
     /// The servers' answers in the last attempt, for the log.
     statuses: Vec<String>,
     /// Whether the old primary steps down, so that replicas need not be paused to read their logs.
@@ -114,6 +116,7 @@
             ineffective_commands: 0,
             term_raises: 0,
             command_term: 0,
+            missing: "the promotion was not confirmed",
             statuses: Vec::new(),
             is_handover: reason.is_planned(),
         }
@@ -204,6 +207,7 @@
             claim.lease.token,
             self.node.now().since(begun).as_millis()
         );
+        self.report_outcome(&promoted);
         if let Some(leader) = &promoted {
             let promotion = self.promotion();
             promotion.settle(&mut claim, leader).await;
@@ -551,8 +555,27 @@
         self.node.now().since(at).as_millis()
     }
 
+    /// Warns of a replacement that ended without a result: the next one has the same task, so only a
+    /// server's return or the operator ends the outage if this repeats.
+    fn report_outcome(&self, promoted: &Option<Arc<str>>) {
+        let mut unsuccessful = lock(&self.group.unsuccessful_replacements);
+        if promoted.is_some() {
+            *unsuccessful = 0;
+            return;
+        }
+        *unsuccessful += 1;
+        self.node.metrics.failovers_unsuccessful.inc();
+        log::warn!(
+            "event=failover-unsuccessful group={} in_succession={unsuccessful} why=\"{}\" statuses=\"{}\"",
+            self.group.name,
+            self.missing,
+            self.statuses.join(" ")
+        );
+    }
+
     /// Logs that a replacement waits, once per several attempts.
-    fn log_wait(&self, attempt: u32, why: &str, survey: &Survey) {
+    fn log_wait(&mut self, attempt: u32, why: &'static str, survey: &Survey) {
+        self.missing = why;
         self.node.metrics.failover_wait(why);
         if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
             log::info!(
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -140,6 +140,8 @@
     pub departures: Mutex<Departures>,
     /// Whether other instances may reach the leader while this one doesn't.
     pub is_leader_unreachable: AtomicBool,
+    /// This instance's replacements of the leader in succession that ended without a result.
+    pub unsuccessful_replacements: Mutex<u32>,
     /// Whether this instance is running a failover.
     pub is_in_failover: AtomicBool,
     connector: Arc<dyn Connector>,
@@ -182,6 +184,7 @@
             recheck: Mutex::default(),
             departures: Mutex::default(),
             is_leader_unreachable: AtomicBool::new(false),
+            unsuccessful_replacements: Mutex::default(),
             is_in_failover: AtomicBool::new(false),
             connector,
             clock,
--- a/crates/relay/src/metrics/metrics.rs
+++ b/crates/relay/src/metrics/metrics.rs
@@ -97,6 +97,8 @@
     pub evacuated_statements: Counter,
     /// Commits that a server acknowledged and a replacement of it may have lost.
     pub commits_in_doubt: Counter,
+    /// Replacements of a primary that ended without a result.
+    pub failovers_unsuccessful: Counter,
     /// Calls to the platform's store.
     pub store_calls: Calls,
     /// Statements forwarded to another instance.
@@ -129,6 +131,7 @@
             zones_evacuated: Gauge::default(),
             evacuated_statements: Counter::default(),
             commits_in_doubt: Counter::default(),
+            failovers_unsuccessful: Counter::default(),
             store_calls: Calls::default(),
             forwarded: Counter::default(),
             run_after_forward: Counter::default(),
@@ -195,6 +198,11 @@
             "Commits that a server acknowledged and a replacement of it may have lost",
             metrics.commits_in_doubt.clone(),
         );
+        registry.register(
+            "failovers_unsuccessful",
+            "Replacements of a primary that ended without a result",
+            metrics.failovers_unsuccessful.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform's store by kind of call and of rows",
--- a/crates/relay/tests/relay/metrics.rs
+++ b/crates/relay/tests/relay/metrics.rs
@@ -16,3 +16,18 @@
         assert!(text.lines().any(|found| found == line), "{text}");
     }
 }
+
+/// Replacements followed each other for a minute without any operator noticing.
+#[test]
+fn replacements_that_wait_or_end_without_a_result_are_shown() {
+    let metrics = Metrics::open();
+    metrics.failovers_unsuccessful.inc();
+    metrics.failover_wait("too few servers answer");
+    let text = metrics.text();
+    for line in [
+        "yuccamount_failovers_unsuccessful_total 1",
+        "yuccamount_failover_waits_total{reason=\"too few servers answer\"} 1",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{text}");
+    }
+}
