--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -32,6 +32,7 @@
 use crate::failover::registrations;
 use crate::group::Group;
 use crate::group::Server;
+use crate::group::UNKNOWN_PRIMARY;
 use crate::message::Statement;
 use crate::node::Fencing;
 use crate::node::Node;
@@ -90,6 +91,8 @@
     term_raises: u64,
     /// The term of the last attempt's pause and demote commands.
     command_term: u64,
+    /// What was missing in the last attempt, for the log.
+    missing: &'static str,
     /// The servers' answers in the last attempt, for the log.
     statuses: Vec<String>,
     /// Whether the old primary steps down, so that replicas need not be paused to read their logs.
@@ -113,6 +116,7 @@
             ineffective_commands: 0,
             term_raises: 0,
             command_term: 0,
+            missing: "the promotion was not confirmed",
             statuses: Vec::new(),
             is_handover: reason.is_planned(),
         }
@@ -216,6 +220,7 @@
             claim.lease.token,
             self.node.now().since(begun).as_millis()
         );
+        self.report_outcome(&promoted);
         let concluded = self.conclude(&mut claim, promoted.as_ref());
         if tenures.run(&group.name, token, concluded).await.is_none() {
             self.on_superseded(token);
@@ -408,6 +413,7 @@
     fn knows_membership(&self) -> bool {
         let now = self.node.now();
         let mut known = self.group.commit_holders();
+        known.remove(UNKNOWN_PRIMARY);
         let unfinished = self.node.leases.newest(&self.group.name);
         if let Some(lease) = unfinished.filter(|lease| lease.phase != Phase::Done) {
             known.extend(lease.commit_holders);
@@ -609,8 +615,27 @@
         self.node.now().since(at).as_millis()
     }
 
+    /// Warns of a replacement that ended without a result: the next one has the same task, so only a
+    /// server's return or the operator ends the outage if this repeats.
+    fn report_outcome(&self, promoted: &Option<Arc<str>>) {
+        let mut unsuccessful = lock(&self.group.unsuccessful_replacements);
+        if promoted.is_some() {
+            *unsuccessful = 0;
+            return;
+        }
+        *unsuccessful += 1;
+        self.node.metrics.failovers_unsuccessful.inc();
+        log::warn!(
+            "event=failover-unsuccessful group={} in_succession={unsuccessful} why=\"{}\" statuses=\"{}\"",
+            self.group.name,
+            self.missing,
+            self.statuses.join(" ")
+        );
+    }
+
     /// Logs that a replacement waits, once per several attempts.
-    fn log_wait(&self, attempt: u32, why: &str, survey: &Survey) {
+    fn log_wait(&mut self, attempt: u32, why: &'static str, survey: &Survey) {
+        self.missing = why;
         self.node.metrics.failover_wait(why);
         if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
             log::info!(
