Record in the row what a replacement knows of acknowledged commits

The bound and the starts of the servers' runs were kept in memory only.

New in the row, optional as docs/design/upgrades.md says: evidence, with the starts of the registered servers' runs and the bound of an unfinished replacement. A successor counts earlier runs as holders and raises its bound.

Not covered: the row is written by claims only. A restart of all instances before the first claim of an outage loses which removed servers and earlier runs may hold commits, and the bound.

--- a/crates/relay/src/failover/bound.rs
+++ b/crates/relay/src/failover/bound.rs
@@ -19,6 +19,8 @@
     Own,
     /// The instance at this address, which told so in its view of the group.
     View(SocketAddr),
+    /// An instance that replaced the primary before, which recorded it in the table.
+    Row,
     /// The instance of this name, which told so when it gave up its leader lease.
     Release(Arc<str>),
 }
@@ -27,6 +29,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Own => formatter.write_str("own"),
+            Self::Row => formatter.write_str("row"),
             Self::View(address) => write!(formatter, "view:{address}"),
             Self::Release(instance) => write!(formatter, "release:{instance}"),
         }
--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -4,10 +4,12 @@
 
 use clock::Span;
 use clock::Time;
+use endpoint::Position;
 use store::Outcome;
 use store::Row;
 use tokio::time::timeout;
 
+use crate::failover::Evidence;
 use crate::failover::Lease;
 use crate::failover::Phase;
 use crate::failover::row;
@@ -119,7 +121,8 @@
         });
         if let Some(before) = before.as_ref().filter(|lease| lease.phase != Phase::Done) {
             // The previous holder may know servers that were removed before this instance started.
-            group.restore_holders(&before.commit_holders);
+            let evidence = before.evidence.as_deref().cloned().unwrap_or_default();
+            group.restore_holders(&before.commit_holders, &evidence.runs);
         }
         let is_predecessor_unfinished = before
             .as_ref()
@@ -137,6 +140,10 @@
             (Some(before), false) => before.reign.or(Some(before.token)),
             (None, false) => Some(0),
         };
+        let unfinished = before.as_ref().filter(|lease| lease.phase != Phase::Done);
+        let bound = unfinished
+            .and_then(|lease| lease.evidence.as_ref())
+            .and_then(|evidence| evidence.bound);
         let lease = Lease {
             holder: Arc::clone(&node.options.name),
             incarnation: node.incarnation,
@@ -144,6 +151,10 @@
             token,
             phase,
             commit_holders: group.commit_holders(),
+            evidence: Some(Box::new(Evidence {
+                runs: group.runs(),
+                bound,
+            })),
             leader: before.as_ref().and_then(|before| before.leader),
             reign,
             end: before
@@ -188,11 +199,26 @@
         })
     }
 
+    /// Returns the highest position in a reply that acknowledged a commit, as recorded.
+    pub fn bound(&self) -> Option<Position> {
+        self.lease.evidence.as_ref()?.bound
+    }
+
+    /// Sets the position that the next write of the row records.
+    pub fn set_bound(&mut self, bound: Option<Position>) {
+        self.lease.evidence.get_or_insert_default().bound = bound;
+    }
+
     /// Renews the lease with `phase`; returns whether this instance still holds it.
     pub async fn renew(&mut self, node: &Node, group: &Group, phase: Phase) -> bool {
         let begun = node.now();
         self.lease.phase = phase;
         self.lease.commit_holders = group.commit_holders();
+        let bound = self.bound();
+        self.lease.evidence = Some(Box::new(Evidence {
+            runs: group.runs(),
+            bound,
+        }));
         let before = Row {
             key: Lease::key(&group.name),
             value: Arc::from(""),
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -16,6 +16,7 @@
 use store::Write;
 use store::version;
 
+use crate::failover::Evidence;
 use crate::failover::row;
 use crate::group::Appointment;
 use crate::node::lock;
@@ -58,6 +59,10 @@
     /// The servers that may hold acknowledged commits, as known to the holder, for its successor.
     #[serde(rename = "holders", default)]
     pub commit_holders: BTreeSet<Arc<str>>,
+    /// What the holder knew of acknowledged commits, for its successor; `None` if its version does not
+    /// record it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evidence: Option<Box<Evidence>>,
     /// The address of the leader named by the last replacement that ended, if any did. It
     /// identifies the leader's log; a server that restarts there may have another id.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -182,6 +182,10 @@
         let Some(mut claim) = Claim::acquire(self.node, self.group, known_token).await else {
             return;
         };
+        if let Some(recorded) = claim.bound() {
+            bound.raise(recorded, Source::Row, self.node.now());
+        }
+        claim.set_bound(Some(bound.position));
         log::info!(
             "event=failover-begun group={} reason={} old={} token={} acknowledged={}",
             self.group.name,
@@ -337,6 +341,8 @@
         // Without a request for a promotion the leader can't have changed.
         let is_unchanged = claim.lease.reign != Some(claim.lease.token);
         let phase = if is_settled {
+            // The leader's log has every acknowledged commit.
+            claim.set_bound(None);
             Phase::Done
         } else {
             lock(&self.group.recheck).on_failed(self.node.now());
@@ -393,6 +399,7 @@
             if !self.reason.is_planned() {
                 self.retire(&mut survey).await;
             }
+            claim.set_bound(Some(survey.acknowledged));
             // A commit that is acknowledged later may be missing in the survey.
             let mut is_retired = self.is_retired();
             self.collect(&mut survey).await;
--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -74,6 +74,8 @@
     at: Time,
     /// Its last entry, if this instance has seen one.
     entry: Option<settings::Server>,
+    /// When this run of it started, if that is known.
+    born: Option<u64>,
     /// When it was found to have stopped for good.
     stopped: Option<Time>,
 }
@@ -438,9 +440,9 @@
     /// Applies that a server is registered, whose entry may have been missing.
     fn on_registered_again(&self, name: &Arc<str>, born: u64) {
         let former = lock(&self.removed).remove(name);
-        let former = former.and_then(|former| former.entry);
-        if let Some(entry) = former.filter(|entry| entry.born != born) {
-            self.on_restarted(name, entry.born);
+        let former = former.and_then(|former| former.born);
+        if let Some(former) = former.filter(|former| *former != born) {
+            self.on_restarted(name, former);
         }
     }
 
@@ -452,6 +454,11 @@
             self.name
         );
         self.on_not_leader(name);
+        self.add_former_run(name, born);
+    }
+
+    /// Counts the ended run of a server as a possible holder of commits.
+    fn add_former_run(&self, name: &Arc<str>, born: u64) {
         if !self.has_replicated_commits() {
             return;
         }
@@ -459,9 +466,12 @@
         let former = Removed {
             at: now,
             entry: None,
+            born: Some(born),
             stopped: Some(now),
         };
-        lock(&self.removed).insert(run_name(name, born), former);
+        lock(&self.removed)
+            .entry(run_name(name, born))
+            .or_insert(former);
     }
 
     /// Returns the departed servers that still count as possible holders of commits.
@@ -503,14 +513,31 @@
             log::info!("event=departed-restored group={} server={name}", self.name);
             removed.entry(name).or_insert(Removed {
                 at,
+                born: Some(entry.born),
                 entry: Some(entry),
                 stopped: None,
             });
         }
     }
 
-    /// Adds servers that another instance listed as possible holders of commits.
-    pub fn restore_holders(&self, names: &BTreeSet<Arc<str>>) {
+    /// Returns when the current runs of the servers started, by id.
+    pub fn runs(&self) -> BTreeMap<Arc<str>, u64> {
+        let servers = self.servers();
+        let runs = servers.iter();
+        runs.map(|server| (Arc::clone(&server.name), server.born()))
+            .collect()
+    }
+
+    /// Adds servers that another instance listed as possible holders of commits; `runs` are the starts of
+    /// those that it knew.
+    pub fn restore_holders(&self, names: &BTreeSet<Arc<str>>, runs: &BTreeMap<Arc<str>, u64>) {
+        for server in self.servers() {
+            let former = runs.get(&server.name).copied();
+            // A later start than this instance knows is no earlier run.
+            if let Some(former) = former.filter(|former| *former < server.born()) {
+                self.add_former_run(&server.name, former);
+            }
+        }
         if !names.is_empty() {
             self.has_restored_holders.store(true, Ordering::Relaxed);
         }
@@ -521,6 +548,7 @@
             removed.entry(Arc::clone(name)).or_insert(Removed {
                 at,
                 entry: None,
+                born: runs.get(name).copied(),
                 stopped: None,
             });
         }
@@ -955,6 +983,7 @@
         let at = self.clock.now();
         let removed = Removed {
             at,
+            born: Some(entry.born),
             entry: Some(entry),
             stopped: None,
         };
--- a/crates/relay/tests/model/replacement.rs
+++ b/crates/relay/tests/model/replacement.rs
@@ -298,6 +298,7 @@
                 _ => Phase::Working,
             },
             commit_holders: acquirer.commit_holders(),
+            evidence: None,
             leader: before.as_ref().and_then(|before| before.leader),
             reign,
             end: before
--- a/crates/relay/tests/relay/lease.rs
+++ b/crates/relay/tests/relay/lease.rs
@@ -26,6 +26,7 @@
         token: 3,
         phase,
         commit_holders: BTreeSet::from([Arc::from("a"), Arc::from("b")]),
+        evidence: None,
         leader: None,
         reign: None,
         end: None,
