Read the entries before a server is chosen by the stopped logs

A server that has started again without its log answers STATUS and PAUSE as its former run until its new entry is read, so the survey counted its empty log as that of a holder: in a_later_instance_knows_the_runs_that_held_commits the holder of the first replacement promoted b, which lacked an acknowledged commit, after an earlier read of the entries had named no other run.

Change: each choice by the stopped logs needs a read of the entries, begun after the survey, that names no run which the survey lacks. It costs one read of the store per replacement. A server that confirms nothing before its entry is written closes the rest; one that answers before it has written its entry can still be taken for its former run.

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -293,10 +293,7 @@
         }
         if let Some(retirement) = &self.retirement {
             let bound = retirement.acknowledged();
-            if bound.registered_by > self.registered_by {
-                survey.is_complete = false;
-                self.registered_by = bound.registered_by;
-            }
+            self.registered_by = self.registered_by.max(bound.registered_by);
             if bound.position > survey.acknowledged {
                 survey.acknowledged = bound.position;
                 self.log_bound(bound);
@@ -423,10 +420,7 @@
                 self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
-            if !survey.is_complete && survey.is_short() && self.node.now() >= self.registered_by {
-                survey.is_complete =
-                    registrations::are_known(self.node, self.group, &survey.holders).await;
-            }
+            survey.is_complete = self.node.now() >= self.registered_by;
             let (choice, rule) = match self.requested_earlier(claim) {
                 Some(server) => (Choice::Promote(server), "requested earlier"),
                 None => (survey.choose(), survey.rule()),
@@ -436,6 +430,14 @@
                 Choice::Promote(_) if !is_retired => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
+                // A server that started again answers as its former run until its entry is read.
+                Choice::Promote(_)
+                    if rule == Survey::BY_STOPPED_LOGS
+                        && !registrations::are_known(self.node, self.group, &survey.holders)
+                            .await =>
+                {
+                    self.log_wait(attempt, "a server has started or started again", &survey);
+                }
                 Choice::Promote(chosen) => {
                     log::info!(
                         "event=failover-chosen group={} server={chosen} rule=\"{rule}\" survey=\"{survey:?}\"",
--- a/crates/relay/src/failover/survey.rs
+++ b/crates/relay/src/failover/survey.rs
@@ -28,7 +28,7 @@
     /// The highest position in a reply that acknowledged a commit. It may be that of a later commit of
     /// another session that no replica has received.
     pub acknowledged: Position,
-    /// Whether every replica that had confirmed a commit by then would be among `holders` by now.
+    /// Whether every replica that had confirmed such a commit has written its entry by now.
     pub is_complete: bool,
     /// Servers that are about to leave or are cold; one is chosen only if no other server qualifies.
     pub leaving: BTreeSet<Arc<str>>,
@@ -49,6 +49,9 @@
 }
 
 impl Survey {
+    /// The rule by which the longest of the stopped logs is chosen.
+    pub const BY_STOPPED_LOGS: &str = "longest stopped log";
+
     /// Chooses a server that holds every acknowledged commit.
     ///
     /// A commit is acknowledged once the primary and `sync_replicas` others hold it. It is in the
@@ -97,7 +100,7 @@
     pub fn rule(&self) -> &'static str {
         match self.successor_of_demoted() {
             Some(_) => "whole log of the demoted primary",
-            None => "longest stopped log",
+            None => Self::BY_STOPPED_LOGS,
         }
     }
 
@@ -110,7 +113,7 @@
     }
 
     /// Returns whether all stopped logs end before the highest position in a reply.
-    pub fn is_short(&self) -> bool {
+    fn is_short(&self) -> bool {
         let longest = self.stopped().into_values().max();
         longest.is_some_and(|longest| longest < self.acknowledged)
     }
