--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -191,6 +191,10 @@
         let Some(mut claim) = Claim::acquire(self.node, self.group, known_token).await else {
             return;
         };
+        if let Some(recorded) = claim.bound() {
+            bound.raise(recorded, Source::Row, self.node.now());
+        }
+        claim.set_bound(Some(bound.position));
         log::info!(
             "event=failover-begun group={} reason={} old={} token={} acknowledged={}",
             self.group.name,
@@ -333,10 +337,7 @@
         }
         if let Some(retirement) = &self.retirement {
             let bound = retirement.acknowledged();
-            if bound.registered_by > self.registered_by {
-                survey.is_complete = false;
-                self.registered_by = bound.registered_by;
-            }
+            self.registered_by = self.registered_by.max(bound.registered_by);
             if bound.position > survey.acknowledged {
                 survey.acknowledged = bound.position;
                 self.log_bound(bound);
@@ -392,6 +393,8 @@
         // Without a request for a promotion the leader can't have changed.
         let is_unchanged = claim.lease.reign != Some(claim.lease.token);
         let phase = if is_settled {
+            // The leader's log has every acknowledged commit.
+            claim.set_bound(None);
             Phase::Done
         } else {
             lock(&self.group.recheck).on_failed(self.node.now());
@@ -448,6 +451,7 @@
             if !self.reason.is_planned() {
                 self.retire(&mut survey).await;
             }
+            claim.set_bound(Some(survey.acknowledged));
             // A commit that is acknowledged later may be missing in the survey.
             let mut is_retired = self.is_retired();
             self.collect(&mut survey).await;
@@ -471,10 +475,7 @@
                 self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
-            if !survey.is_complete && survey.is_short() && self.node.now() >= self.registered_by {
-                survey.is_complete =
-                    registrations::are_known(self.node, self.group, &survey.holders).await;
-            }
+            survey.is_complete = self.node.now() >= self.registered_by;
             let (choice, rule) = match self.requested_earlier(claim) {
                 Some(server) => (Choice::Promote(server), "requested earlier"),
                 None => (survey.choose(), survey.rule()),
@@ -489,6 +490,14 @@
                 {
                     self.log_wait(attempt, "an order without an answer is pending", &survey);
                 }
+                // A server that started again answers as its former run until its entry is read.
+                Choice::Promote(_)
+                    if rule == Survey::BY_STOPPED_LOGS
+                        && !registrations::are_known(self.node, self.group, &survey.holders)
+                            .await =>
+                {
+                    self.log_wait(attempt, "a server has started or started again", &survey);
+                }
                 Choice::Promote(chosen) => {
                     log::info!(
                         "event=failover-chosen group={} server={chosen} rule=\"{rule}\" survey=\"{survey:?}\"",
--- a/crates/relay/tests/relay/unanswered.rs
+++ b/crates/relay/tests/relay/unanswered.rs
@@ -35,6 +35,7 @@
         end: None,
         requested: requested.map(Arc::from),
         unanswered,
+        evidence: None,
     }
 }
 
