Read the logs again before an order is repeated

Acknowledged commits were lost: the promoter refused connections for 5 s, the holder repeated its order 34 times without a survey, and the chosen server started again without its log meanwhile (rig of processes, an_order_is_not_repeated_after_its_server_lost_its_log: LOST, 382 commits, all in another replica's log).

Change: each order follows a survey. A server that was ordered before is still preferred, but only if its log reaches what the survey asks for. A leader that is only confirmed is ordered while it is known to lead.

--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// The answer to an order as its holder understands it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The promotion takes effect.
+    Accepted,
+    /// The promotion is rejected, or another instance may have taken the lease over.
+    Rejected,
+    /// Nothing was sent, or there was no answer.
+    Open,
+}
+
 /// The promotion of a server of one group.
 pub struct Promotion<'a> {
     node: &'a Arc<Node>,
@@ -69,8 +80,30 @@
         Self { node, group }
     }
 
-    /// Requests a promotion until it is confirmed; `None` if it is rejected or never confirmed, or
-    /// if another instance may have taken the lease over.
+    /// Requests the promotion of the present leader until it is confirmed; `None` if it is rejected or
+    /// never confirmed, if the server no longer leads, or if another instance may have taken the lease
+    /// over.
+    pub async fn confirm(&self, claim: &mut Claim, leader: &Arc<str>) -> Option<()> {
+        for attempt in 1..=ATTEMPTS_MAX {
+            match self.request(claim, leader, None, attempt).await {
+                Answer::Accepted => return Some(()),
+                Answer::Rejected => return None,
+                Answer::Open => {}
+            }
+            sleep(RETRY_PAUSE).await;
+            if self
+                .group
+                .leader()
+                .is_none_or(|known| known.name != *leader)
+            {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Requests a promotion once. Before it is repeated the logs must be read again, as the server may
+    /// have started again without its log.
     ///
     /// `end` is a position that the server's log has reached.
     pub async fn request(
@@ -78,66 +111,65 @@
         claim: &mut Claim,
         server: &Arc<str>,
         end: Option<Position>,
-    ) -> Option<()> {
-        claim.lease.reign = Some(claim.lease.token);
+        attempt: u32,
+    ) -> Answer {
+        let requested = self.is_unchecked().then(|| Arc::clone(server));
+        let reign = Some(claim.lease.token);
+        let is_recorded = claim.lease.reign == reign
+            && claim.lease.end == end
+            && claim.lease.requested == requested;
+        claim.lease.reign = reign;
         claim.lease.end = end;
-        if self.is_unchecked() {
-            // A successor must know the server before the request can take effect.
-            claim.lease.requested = Some(Arc::clone(server));
-            self.renew(claim).await?;
-        }
+        claim.lease.requested = requested;
         let order = Order {
             group: Arc::clone(&self.group.name),
             server: Arc::clone(server),
             holder: Arc::clone(&self.node.options.name),
             token: claim.lease.token,
         };
-        for attempt in 1..=ATTEMPTS_MAX {
-            if self.is_unchecked()
-                && !claim.is_current(self.node.now())
-                && self.renew(claim).await.is_none()
-            {
-                self.log_withheld(&order, attempt, claim);
-                return None;
+        // A successor must know the server before the request can take effect.
+        let is_renewal_due = !is_recorded || !claim.is_current(self.node.now());
+        if self.is_unchecked() && is_renewal_due && self.renew(claim).await.is_none() {
+            self.log_withheld(&order, attempt, claim);
+            return Answer::Rejected;
+        }
+        let begun = self.node.now();
+        let age = claim.age(begun);
+        let promoter = &self.node.dependencies.promoter;
+        let validity = Term {
+            node: self.node,
+            order: &order,
+            send_deadline: self.send_deadline(claim, begun),
+            end: begun + Span::from(REQUEST_TIMEOUT),
+        };
+        let given = timeout(REQUEST_TIMEOUT, promoter.promote(&order, &validity)).await;
+        let is_unanswered = !matches!(given, Ok(Ok(_)));
+        log::info!(
+            "event=order group={} server={server} token={} attempt={attempt} claim_age_ms={} took_ms={} may_take_effect_later={is_unanswered} answer=\"{given:?}\"",
+            order.group,
+            order.token,
+            age.as_millis(),
+            self.node.now().since(begun).as_millis()
+        );
+        self.node.metrics.order(match &given {
+            Ok(Ok(outcome)) => outcome.label(),
+            Ok(Err(_)) | Err(_) => "unanswered",
+        });
+        match given {
+            Ok(Ok(Outcome::Done)) => Answer::Accepted,
+            Ok(Ok(Outcome::Rejected)) => {
+                // Earlier ones that got no answer are recorded as such.
+                claim.lease.requested = None;
+                Answer::Rejected
             }
-            let begun = self.node.now();
-            let age = claim.age(begun);
-            let promoter = &self.node.dependencies.promoter;
-            let validity = Term {
-                node: self.node,
-                order: &order,
-                send_deadline: self.send_deadline(claim, begun),
-                end: begun + Span::from(REQUEST_TIMEOUT),
-            };
-            let given = timeout(REQUEST_TIMEOUT, promoter.promote(&order, &validity)).await;
-            let is_unanswered = !matches!(given, Ok(Ok(_)));
-            log::info!(
-                "event=order group={} server={server} token={} attempt={attempt} claim_age_ms={} took_ms={} may_take_effect_later={is_unanswered} answer=\"{given:?}\"",
-                order.group,
-                order.token,
-                age.as_millis(),
-                self.node.now().since(begun).as_millis()
-            );
-            self.node.metrics.order(match &given {
-                Ok(Ok(outcome)) => outcome.label(),
-                Ok(Err(_)) | Err(_) => "unanswered",
-            });
-            match given {
-                Ok(Ok(Outcome::Done)) => return Some(()),
-                Ok(Ok(Outcome::Rejected)) => {
-                    // Earlier ones that got no answer are recorded as such.
-                    claim.lease.requested = None;
-                    return None;
-                }
-                Ok(Ok(Outcome::Deferred | Outcome::Unsent)) => {}
-                Ok(Err(_)) | Err(_) if self.is_unchecked() => {
+            Ok(Ok(Outcome::Deferred | Outcome::Unsent)) => Answer::Open,
+            Ok(Err(_)) | Err(_) => {
+                if self.is_unchecked() {
                     claim.on_unanswered(self.node, self.group, server);
                 }
-                Ok(Err(_)) | Err(_) => {}
+                Answer::Open
             }
-            sleep(RETRY_PAUSE).await;
         }
-        None
     }
 
     /// Returns when an order begun at `begun` must have been sent.
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -29,6 +29,7 @@
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
 use crate::failover::command;
+use crate::failover::promotion::Answer;
 use crate::failover::registrations;
 use crate::group::Group;
 use crate::group::Server;
@@ -476,10 +477,7 @@
                 return Some(leader);
             }
             survey.is_complete = self.node.now() >= self.registered_by;
-            let (choice, rule) = match self.requested_earlier(claim) {
-                Some(server) => (Choice::Promote(server), "requested earlier"),
-                None => (survey.choose(), survey.rule()),
-            };
+            let (choice, rule) = self.choose(claim, &survey);
             match choice {
                 // A demoted primary that restarts may lead again.
                 Choice::Promote(_) if !is_retired => {
@@ -507,10 +505,16 @@
                     let end = survey
                         .position(&chosen)
                         .filter(|_| !claim.may_have_pending_promotion());
-                    self.promotion().request(claim, &chosen, end).await?;
-                    self.believe(self.group.server(&chosen).as_ref());
-                    self.promotion().wait_for_proof(&chosen).await;
-                    return Some(chosen);
+                    let promotion = self.promotion();
+                    match promotion.request(claim, &chosen, end, attempt).await {
+                        Answer::Accepted => {
+                            self.believe(self.group.server(&chosen).as_ref());
+                            promotion.wait_for_proof(&chosen).await;
+                            return Some(chosen);
+                        }
+                        Answer::Rejected => return None,
+                        Answer::Open => {}
+                    }
                 }
                 Choice::Wait { why } => self.log_wait(attempt, why, &survey),
             }
@@ -656,8 +660,27 @@
         }
     }
 
-    /// Returns the server whose promotion an earlier holder requested: it may take effect at any
-    /// time, and nothing but another promotion of the same server is safe until then.
+    /// Returns what to do after a survey, and by which rule.
+    ///
+    /// A server whose promotion was requested before is preferred, since that may take effect at any
+    /// time, unless it has lost its log since.
+    fn choose(&self, claim: &Claim, survey: &Survey) -> (Choice, &'static str) {
+        let choice = survey.choose();
+        let requested = self.requested_earlier(claim);
+        let has_whole_log = |server: &Arc<str>| {
+            let end = match &choice {
+                Choice::Promote(chosen) => survey.position(chosen),
+                Choice::Wait { .. } => Some(survey.acknowledged),
+            };
+            survey.position(server) >= end
+        };
+        match requested.filter(has_whole_log) {
+            Some(server) => (Choice::Promote(server), "requested earlier"),
+            None => (choice, survey.rule()),
+        }
+    }
+
+    /// Returns the server whose promotion an earlier holder requested.
     fn requested_earlier(&self, claim: &Claim) -> Option<Arc<str>> {
         let requested = claim.lease.requested.as_ref()?;
         let server = self.group.server(requested)?;
@@ -705,7 +728,7 @@
             false => claim.may_have_pending_promotion(),
         };
         if is_pending {
-            self.promotion().request(claim, leader, None).await?;
+            self.promotion().confirm(claim, leader).await?;
             // Keeps the lease until the promotion has taken effect.
             sleep(PROMOTION_SETTLE_TIME).await;
         }
