Wait for an order without an answer before another server is promoted

Where fences are not checked, the platform may carry out an order that got no answer seconds later. If the server that it named was promoted by a second order, failed and was replaced meanwhile, the first one promoted it again, without the commits acknowledged since (rule LOST).

Cause: the server was kept in the row (requested) only until the replacement was settled, and not after a rejection that a later holder received.

Change: the row keeps the newest order without an answer (unanswered, an optional field), also one that a holder that died may have given.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -10,6 +10,7 @@
 
 use crate::failover::Lease;
 use crate::failover::Phase;
+use crate::failover::Unanswered;
 use crate::failover::row;
 use crate::failover::row::TABLE_TIMEOUT;
 use crate::group::Group;
@@ -138,6 +139,15 @@
             .max(node.leases.tenures.newest(&group.name))
             .max(before.as_ref().map_or(0, |before| before.token));
         let token = Lease::next_token(node.dependencies.table.era(), row.as_ref(), known_token);
+        let unanswered = before
+            .as_ref()
+            .filter(|_| node.options.fencing == Fencing::Unchecked)
+            .and_then(Lease::pending_order);
+        if let Some(order) = &unanswered {
+            node.leases.unanswered.on_order(now, &group.name, order);
+        }
+        let is_pending =
+            |order: &Unanswered| node.leases.unanswered.is_pending(now, &group.name, order);
         let has_request = before
             .as_ref()
             .is_some_and(|before| before.requested.is_some());
@@ -165,6 +175,7 @@
             requested: before
                 .filter(|before| before.phase == Phase::Working)
                 .and_then(|before| before.requested),
+            unanswered: unanswered.filter(|order| is_pending(order)),
         };
         let (condition, write) = lease.compare_and_set(&group.name, row.as_ref());
         let commit = node.dependencies.table.commit(vec![condition], vec![write]);
@@ -200,11 +211,43 @@
         })
     }
 
+    /// Records that an order of this claim to promote `server` got no answer.
+    pub fn on_unanswered(&mut self, node: &Node, group: &Group, server: &Arc<str>) {
+        let token = self.lease.token;
+        let recorded = self.lease.unanswered.take();
+        let recorded = recorded.filter(|order| order.token == token);
+        let order = Unanswered {
+            server: Arc::clone(server),
+            token,
+            count: recorded.map_or(0, |order| order.count) + 1,
+        };
+        node.leases
+            .unanswered
+            .on_order(node.now(), &group.name, &order);
+        self.lease.unanswered = Some(Box::new(order));
+    }
+
+    /// Returns whether an order that got no answer may still promote another server than `server`,
+    /// which would then lead without the commits acknowledged since.
+    pub fn may_promote_other(&self, node: &Node, group: &Group, server: &str) -> bool {
+        let order = self.lease.unanswered.as_ref();
+        let other = order.filter(|order| *order.server != *server);
+        other.is_some_and(|order| {
+            node.leases
+                .unanswered
+                .is_pending(node.now(), &group.name, order)
+        })
+    }
+
     /// Renews the lease with `phase`; returns whether this instance still holds it.
     pub async fn renew(&mut self, node: &Node, group: &Group, phase: Phase) -> bool {
         let begun = node.now();
         self.lease.phase = phase;
         self.lease.commit_holders = group.commit_holders(begun);
+        let unanswered = &node.leases.unanswered;
+        self.lease
+            .unanswered
+            .take_if(|order| !unanswered.is_pending(begun, &group.name, order));
         let before = Row {
             key: Lease::key(&group.name),
             value: Arc::from(""),
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -17,6 +17,8 @@
 use store::version;
 
 use crate::failover::Tenures;
+use crate::failover::Tracker;
+use crate::failover::Unanswered;
 use crate::failover::row;
 use crate::group::Appointment;
 use crate::node::lock;
@@ -74,6 +76,10 @@
     /// The server whose promotion this or an earlier unfinished replacement requested.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub requested: Option<Arc<str>>,
+    /// The newest order that got no answer, as long as it may be carried out. Only set where fences are
+    /// not checked.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub unanswered: Option<Box<Unanswered>>,
 }
 
 impl Lease {
@@ -91,6 +97,22 @@
         }
     }
 
+    /// Returns the newest order that may be carried out later: one that got no answer, or one that the
+    /// holder of an unfinished replacement may have given.
+    pub fn pending_order(&self) -> Option<Box<Unanswered>> {
+        let requested = self.requested.as_ref();
+        let Some(server) = requested.filter(|_| self.phase == Phase::Working) else {
+            return self.unanswered.clone();
+        };
+        let recorded = self.unanswered.as_ref();
+        let recorded = recorded.filter(|order| order.token == self.token);
+        Some(Box::new(Unanswered {
+            server: Arc::clone(server),
+            token: self.token,
+            count: recorded.map_or(0, |order| order.count) + 1,
+        }))
+    }
+
     /// Returns the lease as settled if its holder has `announced` that and could not write it.
     pub fn settled(self, announced: Option<Appointment>) -> Self {
         let announced = announced.filter(|announced| announced.token == self.token);
@@ -103,6 +125,7 @@
             reign: Some(announced.reign),
             end: announced.end,
             requested: None,
+            unanswered: self.pending_order(),
             ..self
         }
     }
@@ -170,6 +193,8 @@
     newest: Mutex<BTreeMap<Arc<str>, Lease>>,
     /// Ends replacements of this instance once newer ones are known.
     pub tenures: Tenures,
+    /// The orders that got no answer.
+    pub unanswered: Tracker,
 }
 
 impl Leases {
--- a/crates/relay/src/failover/mod.rs
+++ b/crates/relay/src/failover/mod.rs
@@ -17,6 +17,7 @@
 mod row;
 mod survey;
 mod tenures;
+mod unanswered;
 
 pub use check::check;
 pub use command::demote;
@@ -41,3 +42,5 @@
 pub use survey::Choice;
 pub use survey::Survey;
 pub use tenures::Tenures;
+pub use unanswered::Tracker;
+pub use unanswered::Unanswered;
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -92,7 +92,6 @@
             holder: Arc::clone(&self.node.options.name),
             token: claim.lease.token,
         };
-        let mut is_any_unanswered = false;
         for attempt in 1..=ATTEMPTS_MAX {
             if self.is_unchecked()
                 && !claim.is_current(self.node.now())
@@ -126,13 +125,15 @@
             match given {
                 Ok(Ok(Outcome::Done)) => return Some(()),
                 Ok(Ok(Outcome::Rejected)) => {
-                    if !is_any_unanswered {
-                        claim.lease.requested = None;
-                    }
+                    // Earlier ones that got no answer are recorded as such.
+                    claim.lease.requested = None;
                     return None;
                 }
                 Ok(Ok(Outcome::Deferred | Outcome::Unsent)) => {}
-                Ok(Err(_)) | Err(_) => is_any_unanswered = true,
+                Ok(Err(_)) | Err(_) if self.is_unchecked() => {
+                    claim.on_unanswered(self.node, self.group, server);
+                }
+                Ok(Err(_)) | Err(_) => {}
             }
             sleep(RETRY_PAUSE).await;
         }
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -98,6 +98,15 @@
     /// Replaces the primary unless the other instances' views speak against it or no server can be
     /// promoted without losing commits.
     pub async fn run(&mut self) {
+        if self.reason.is_planned() && self.has_pending_order() {
+            // Its primary would be demoted long before another server may be promoted.
+            log::info!(
+                "event=failover-put-off group={} reason={} why=\"an order without an answer is pending\"",
+                self.group.name,
+                self.reason
+            );
+            return;
+        }
         let views = self
             .node
             .peers
@@ -226,6 +235,18 @@
         }
     }
 
+    /// Returns whether an order that got no answer may still be carried out, as far as is known.
+    fn has_pending_order(&self) -> bool {
+        let leases = &self.node.leases;
+        let newest = leases.newest(&self.group.name);
+        let order = newest.and_then(|lease| lease.unanswered);
+        order.is_some_and(|order| {
+            leases
+                .unanswered
+                .is_pending(self.node.now(), &self.group.name, &order)
+        })
+    }
+
     fn is_unchecked(&self) -> bool {
         self.node.options.fencing == Fencing::Unchecked
     }
@@ -409,6 +430,11 @@
                 Choice::Promote(_) if !is_retired => {
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
+                Choice::Promote(chosen)
+                    if claim.may_promote_other(self.node, self.group, &chosen) =>
+                {
+                    self.log_wait(attempt, "an order without an answer is pending", &survey);
+                }
                 Choice::Promote(chosen) => {
                     log::info!(
                         "event=failover-chosen group={} server={chosen} survey=\"{survey:?}\"",
@@ -521,6 +547,9 @@
         {
             return None;
         }
+        if claim.may_promote_other(self.node, self.group, &old.name) {
+            return None;
+        }
         let probed = self.node.now();
         task::leader::probe(self.node, self.group, old).await;
         if lock(&self.group.leadership).proven_at() < probed {
--- a/crates/relay/src/task/appointments.rs
+++ b/crates/relay/src/task/appointments.rs
@@ -119,6 +119,10 @@
         }
         if let Some(lease) = &lease {
             node.leases.on_lease(&group.name, lease);
+            if let Some(order) = &lease.unanswered {
+                let tracker = &node.leases.unanswered;
+                tracker.on_order(node.now(), &group.name, order);
+            }
         }
         group.change_leader_lease(|lease| lease.set_registration(registration));
         group.on_appointment(begun, lease.map(|lease| lease.appointment()));
--- a/crates/relay/tests/model/replacement.rs
+++ b/crates/relay/tests/model/replacement.rs
@@ -307,6 +307,7 @@
             requested: before
                 .filter(|_| is_unfinished)
                 .and_then(|before| before.requested),
+            unanswered: None,
         };
         self.claim = Some(Claim {
             lease: lease.clone(),
--- a/crates/relay/tests/relay/lease.rs
+++ b/crates/relay/tests/relay/lease.rs
@@ -30,6 +30,7 @@
         reign: None,
         end: None,
         requested: None,
+        unanswered: None,
     }
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -35,6 +35,7 @@
 mod store_return;
 mod superseded;
 mod survey;
+mod unanswered;
 mod upgrade;
 mod warmup;
 mod world;
--- a/crates/relay/tests/relay/replacement.rs
+++ b/crates/relay/tests/relay/replacement.rs
@@ -286,6 +286,7 @@
         reign: None,
         end: None,
         requested: None,
+        unanswered: None,
     };
     let (condition, write) = lease.compare_and_set(GROUP, None);
     let put = world.table.commit(vec![condition], vec![write]).await;
@@ -328,6 +329,7 @@
         reign: None,
         end: None,
         requested: None,
+        unanswered: None,
     };
     let (condition, write) = lease.compare_and_set(GROUP, before.as_ref());
     let put = world.table.commit(vec![condition], vec![write]).await;
--- a/crates/relay/tests/relay/world/group.rs
+++ b/crates/relay/tests/relay/world/group.rs
@@ -106,6 +106,8 @@
     pub(super) sets_left: Option<usize>,
     /// Whether a replaced primary goes on as one until it is demoted.
     pub(super) keeps_deposed: bool,
+    /// How late promotion orders are executed, which then have no answer.
+    pub(super) order_delay: Option<Duration>,
     /// Whether promotion orders have no effect and no answer.
     pub(super) loses_orders: bool,
     /// The instances that have begun a transaction of their own.
@@ -178,6 +180,11 @@
         }
     }
 
+    /// Executes further promotion orders after `delay` without an answer; `None` ends that.
+    pub fn delay_orders(&self, delay: Option<Duration>) {
+        self.lock().order_delay = delay;
+    }
+
     /// Loses all further promotion orders.
     pub fn lose_orders(&self) {
         self.lock().loses_orders = true;
@@ -376,16 +383,19 @@
         if !validity.may_send() {
             return Ok(Outcome::Unsent);
         }
+        let unanswered = Err(Error::Broken {
+            step: "promote",
+            peer: order.server.to_string(),
+            why: "no answer".to_owned(),
+        });
+        let delay;
         {
             let mut inner = self.lock();
             inner.orders.push(order.clone());
             if inner.loses_orders {
-                return Err(Error::Broken {
-                    step: "promote",
-                    peer: order.server.to_string(),
-                    why: "no answer".to_owned(),
-                });
+                return unanswered;
             }
+            delay = inner.order_delay;
             if order.token < inner.token || inner.servers[&order.server].is_down {
                 return Ok(Outcome::Rejected);
             }
@@ -396,10 +406,13 @@
         let group = self.this.upgrade().expect("the group is in use");
         let server = Arc::clone(&order.server);
         tokio::spawn(async move {
-            tokio::time::sleep(PROMOTION_TIME).await;
+            tokio::time::sleep(delay.unwrap_or(PROMOTION_TIME)).await;
             group.make_leader(&server);
         });
-        Ok(Outcome::Done)
+        match delay {
+            Some(_) => unanswered,
+            None => Ok(Outcome::Done),
+        }
     }
 }
 
