--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -186,7 +186,7 @@
             requested: before
                 .filter(|before| before.phase == Phase::Working)
                 .and_then(|before| before.requested),
-            unanswered: unanswered.filter(is_pending),
+            unanswered: unanswered.filter(|order| is_pending(order)),
         };
         let (condition, write) = lease.compare_and_set(&group.name, row.as_ref());
         let commit = node.dependencies.table.commit(vec![condition], vec![write]);
@@ -235,7 +235,7 @@
         node.leases
             .unanswered
             .on_order(node.now(), &group.name, &order);
-        self.lease.unanswered = Some(order);
+        self.lease.unanswered = Some(Box::new(order));
     }
 
     /// Returns whether an order that got no answer may still promote another server than `server`,
--- a/crates/relay/src/failover/lease.rs
+++ b/crates/relay/src/failover/lease.rs
@@ -84,7 +84,7 @@
     /// The newest order that got no answer, as long as it may be carried out. Only set where fences are
     /// not checked.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub unanswered: Option<Unanswered>,
+    pub unanswered: Option<Box<Unanswered>>,
 }
 
 impl Lease {
@@ -104,18 +104,18 @@
 
     /// Returns the newest order that may be carried out later: one that got no answer, or one that the
     /// holder of an unfinished replacement may have given.
-    pub fn pending_order(&self) -> Option<Unanswered> {
+    pub fn pending_order(&self) -> Option<Box<Unanswered>> {
         let requested = self.requested.as_ref();
         let Some(server) = requested.filter(|_| self.phase == Phase::Working) else {
             return self.unanswered.clone();
         };
         let recorded = self.unanswered.as_ref();
         let recorded = recorded.filter(|order| order.token == self.token);
-        Some(Unanswered {
+        Some(Box::new(Unanswered {
             server: Arc::clone(server),
             token: self.token,
             count: recorded.map_or(0, |order| order.count) + 1,
-        })
+        }))
     }
 
     /// Returns the lease as settled if its holder has `announced` that and could not write it.
--- a/crates/relay/tests/relay/unanswered.rs
+++ b/crates/relay/tests/relay/unanswered.rs
@@ -34,7 +34,7 @@
         reign: None,
         end: None,
         requested: requested.map(Arc::from),
-        unanswered,
+        unanswered: unanswered.map(Box::new),
         evidence: None,
     }
 }
@@ -52,11 +52,11 @@
 fn a_request_of_an_unfinished_replacement_may_be_carried_out() {
     let recorded = unanswered(3, 2);
     let dead = lease(Phase::Working, Some("b"), Some(recorded.clone()));
-    assert_eq!(dead.pending_order(), Some(unanswered(3, 3)));
+    assert_eq!(dead.pending_order().as_deref(), Some(&unanswered(3, 3)));
     let dead = lease(Phase::Working, Some("b"), Some(unanswered(2, 2)));
-    assert_eq!(dead.pending_order(), Some(unanswered(3, 1)));
+    assert_eq!(dead.pending_order().as_deref(), Some(&unanswered(3, 1)));
     let ended = lease(Phase::Done, None, Some(recorded.clone()));
-    assert_eq!(ended.pending_order(), Some(recorded));
+    assert_eq!(ended.pending_order().as_deref(), Some(&recorded));
     let ended = lease(Phase::Done, None, None);
     assert_eq!(ended.pending_order(), None);
 }
