Restore former runs and an unknown primary as what they are

The row's list of holders has names of former runs and, where no instance knew the primary, that of an unknown one. A successor took these for servers that may still run, so a primary that crashed within 30 s of that was replaced only after them. Now a former run has ended when it is restored, and whether the primary is unknown each instance decides itself. No test: found by reading; it only delayed replacements.

--- a/crates/relay/src/group/group.rs
+++ b/crates/relay/src/group/group.rs
@@ -101,6 +101,12 @@
     Arc::from(format!("{server}@{born}"))
 }
 
+/// Returns whether a name is that of an earlier run of a server.
+fn is_run_name(name: &str) -> bool {
+    name.rsplit_once('@')
+        .is_some_and(|(server, born)| !server.is_empty() && born.parse::<u64>().is_ok())
+}
+
 /// One database group.
 pub struct Group {
     /// The group's name.
@@ -538,18 +544,21 @@
                 self.add_former_run(&server.name, former);
             }
         }
-        if !names.is_empty() {
+        if !names.is_empty() && !names.contains(UNKNOWN_PRIMARY) {
             self.has_restored_holders.store(true, Ordering::Relaxed);
         }
         let at = self.clock.now();
         let servers = lock(&self.servers);
         let mut removed = lock(&self.removed);
-        for name in names.iter().filter(|name| !servers.contains_key(*name)) {
+        let is_removed =
+            |name: &Arc<str>| !servers.contains_key(name) && **name != *UNKNOWN_PRIMARY;
+        for name in names.iter().filter(|name| is_removed(name)) {
             removed.entry(Arc::clone(name)).or_insert(Removed {
                 at,
                 entry: None,
                 born: runs.get(name).copied(),
-                stopped: None,
+                // A former run has ended.
+                stopped: is_run_name(name).then_some(at),
             });
         }
     }
