Spend fewer faults before a replacement orders in random traces

The random traces of the model had used up their five faults before most replacements got to an order: 10,000 traces with orders that arrive late and 10,000 without had the same 502,448 states, so none had such an order. A call or step without a fault is now drawn five times as often where every link and call may fail.

A replacement of the model gives up resuming replicas after 20 s; before, its 12 attempts could happen at one moment. The product tries 40 times (4 to 34 s).

--- a/crates/relay/tests/model/promotion.rs
+++ b/crates/relay/tests/model/promotion.rs
@@ -23,8 +23,8 @@
 /// Attempts to demote a primary that leaves before it counts as silent.
 const DEMOTION_ATTEMPTS_MAX: u8 = 2;
 const PROOF_TIMEOUT: Span = Span::from_millis(2_500);
-/// Attempts to resume the replicas, fewer than those of the product.
-const RESUMPTIONS_MAX: u8 = 12;
+/// The 40 attempts of the product take 4 s if a server refuses and 34 s if it doesn't answer.
+const RESUMPTION_TIME: Span = Span::from_secs(20);
 const REQUEST_TIMEOUT: Span = Span::from_millis(1_200);
 
 impl Replacement {
@@ -218,8 +218,9 @@
             recheck.on_resumed();
             return Step::Release { is_settled: true };
         }
-        self.resumptions += 1;
-        match self.resumptions < RESUMPTIONS_MAX {
+        let now = scene.state.now;
+        let until = *self.resumes_until.get_or_insert(now + RESUMPTION_TIME);
+        match now < until {
             true => Step::Resume { leader },
             false => Step::Release { is_settled: true },
         }
--- a/crates/relay/tests/model/replacement.rs
+++ b/crates/relay/tests/model/replacement.rs
@@ -87,8 +87,8 @@
     pub is_retried: bool,
     pub is_unanswered: bool,
     pub was_replaced: bool,
-    /// Attempts to resume the replicas.
-    pub resumptions: u8,
+    /// Until when replicas are resumed; `None` before the first attempt.
+    pub resumes_until: Option<Time>,
 }
 
 /// The surroundings of a step.
@@ -126,7 +126,7 @@
             is_retried: false,
             is_unanswered: false,
             was_replaced: false,
-            resumptions: 0,
+            resumes_until: None,
         }
     }
 
--- a/crates/relay/tests/model/rules_hold.rs
+++ b/crates/relay/tests/model/rules_hold.rs
@@ -295,6 +295,30 @@
     assert_eq!(replay(&world, &events), Ok(None));
 }
 
+/// Guards against a replica that stays paused: the holder that paused it did not reach it for longer than
+/// it tries to resume replicas.
+#[test]
+fn a_paused_replica_that_was_out_of_reach_is_resumed() {
+    let world = World {
+        rules: Rules::all(Fencing::Enforced),
+        limits: Limits {
+            ticks: 9,
+            has_long_pauses: true,
+            ..Limits::many()
+        },
+    };
+    let done = |steps| repeat_n(Event::Step(0, Fate::Done), steps);
+    let mut events = vec![Event::Crash(0), Event::PassLong, Event::Begin(0)];
+    // Up to the order.
+    events.extend(done(11));
+    events.push(Event::Cut(0, 2));
+    events.extend([Event::Promote(0), Event::Pass]);
+    events.extend(done(3));
+    events.extend(repeat_n(Event::PassLong, 6));
+    events.extend(done(1));
+    assert_eq!(replay(&world, &events), Ok(None));
+}
+
 /// Returns a world under `rules`, with events in which an order was given up and arrives after that of the
 /// next holder, unless it can't arrive any more.
 pub fn delayed_order(rules: Rules) -> (World, Vec<Event>) {
--- a/crates/relay/tests/model/world.rs
+++ b/crates/relay/tests/model/world.rs
@@ -175,12 +175,16 @@
     }
 
     fn weight(&self, event: &Event) -> usize {
+        // Where every link and call may fail, the faults would be used up before a replacement orders.
+        let scale = if self.limits.is_fine { 5 } else { 1 };
         match event {
-            Event::Step(_, Fate::Done) => 12,
-            Event::Begin(_) => 6,
-            Event::Send(_) | Event::Receive(_) | Event::Answer(_) | Event::Promote(_) => 4,
-            Event::Pass | Event::Join => 3,
-            _ => 1,
+            Event::Step(_, Fate::Done) => 12 * scale,
+            Event::Begin(_) => 6 * scale,
+            Event::Send(_) | Event::Receive(_) | Event::Answer(_) | Event::Promote(_) => 4 * scale,
+            Event::Pass | Event::Join => 3 * scale,
+            Event::Step(..) => scale,
+            event if is_fault(*event) => 1,
+            _ => scale,
         }
     }
 
