Don't reinstate a primary while an own order may still take effect

Cause: an order is followed by a survey now, before which the same order was repeated until it was answered.

Change: a claim remembers the server of an order that got no answer. Where fences are checked no other server leads under that claim; it ends, and the token of the next one has the order rejected.

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -34,6 +34,9 @@
     renewed: Time,
     /// Whether the previous holder left its replacement in `Phase::Working`.
     is_predecessor_unfinished: bool,
+    /// The server of an order with this token that got no answer. Only an order with a higher token has
+    /// it rejected where fences are checked.
+    ordered: Option<Arc<str>>,
 }
 
 /// The outcome of trying to take over a lease whose holder may have died mid-failover.
@@ -219,11 +222,21 @@
             version,
             renewed: now,
             is_predecessor_unfinished,
+            ordered: None,
         })
     }
 
+    /// Returns the server that an order of this claim may still promote, as it got no answer.
+    pub fn ordered(&self) -> Option<&Arc<str>> {
+        self.ordered.as_ref()
+    }
+
     /// Records that an order of this claim to promote `server` got no answer.
     pub fn on_unanswered(&mut self, node: &Node, group: &Group, server: &Arc<str>) {
+        self.ordered = Some(Arc::clone(server));
+        if node.options.fencing == Fencing::Enforced {
+            return;
+        }
         let token = self.lease.token;
         let recorded = self.lease.unanswered.take();
         let recorded = recorded.filter(|order| order.token == token);
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -164,9 +164,7 @@
             }
             Ok(Ok(Outcome::Deferred | Outcome::Unsent)) => Answer::Open,
             Ok(Err(_)) | Err(_) => {
-                if self.is_unchecked() {
-                    claim.on_unanswered(self.node, self.group, server);
-                }
+                claim.on_unanswered(self.node, self.group, server);
                 Answer::Open
             }
         }
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -440,6 +440,7 @@
         let mut renewed = self.node.now();
         for attempt in 1..=ATTEMPTS_MAX {
             if self.reason == Reason::Silent
+                && (self.is_unchecked() || claim.ordered().is_none())
                 && let Some(old) = self.recovered_primary(claim).await
             {
                 return Some(old);
@@ -473,11 +474,21 @@
             if !self.is_unchecked()
                 && let Some(leader) = self.other_leader()
             {
+                if claim.ordered().is_some_and(|ordered| *ordered != leader) {
+                    // The next claim's token has the order rejected.
+                    return None;
+                }
                 self.fence_pending(claim, &leader).await?;
                 return Some(leader);
             }
             survey.is_complete = self.node.now() >= self.registered_by;
             let (choice, rule) = self.choose(claim, &survey);
+            if !self.is_unchecked()
+                && let (Choice::Promote(chosen), Some(ordered)) = (&choice, claim.ordered())
+                && chosen != ordered
+            {
+                return None;
+            }
             match choice {
                 // A demoted primary that restarts may lead again.
                 Choice::Promote(_) if !is_retired => {
@@ -680,11 +691,14 @@
         }
     }
 
-    /// Returns the server whose promotion an earlier holder requested.
+    /// Returns the server whose promotion was requested before, by this claim or an earlier holder.
     fn requested_earlier(&self, claim: &Claim) -> Option<Arc<str>> {
-        let requested = claim.lease.requested.as_ref()?;
-        let server = self.group.server(requested)?;
-        self.is_unchecked().then(|| Arc::clone(&server.name))
+        let requested = match self.is_unchecked() {
+            true => claim.lease.requested.as_ref(),
+            false => claim.ordered(),
+        };
+        let server = self.group.server(requested?)?;
+        Some(Arc::clone(&server.name))
     }
 
     /// Returns the old primary if it leads again.
