Model runs of servers; stop the last waits that it found

Found by the model and in reading the merged code:

- An old primary that started again without its log under its id was left alone by each survey, as if it were silent, and its former run counted as missing: no server was ever promoted (Crash, PassLong, Wipe).
It is paused like other replicas now.
The test a_paused_replica_that_was_out_of_reach_is_resumed failed before.
- A holder believed only its candidate for as long as it resumed replicas, 4 to 34 s; it now stops once the replacement is settled.

The model mirrors runs of servers as holders, the end of the wait for the bound and the deadline of orders (rules has_runs, has_order_deadline).

--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement.rs
@@ -240,6 +240,9 @@
         if let Some(leader) = promoted {
             let promotion = self.promotion();
             promotion.settle(claim, leader).await;
+            // Replicas may be resumed for many seconds, in which another server may be promoted.
+            self.group
+                .change_leader_lease(|lease| lease.set_candidate(None));
             promotion.announce(leader).await;
             join(promotion.record(claim), self.resume(leader)).await;
         }
@@ -782,7 +785,9 @@
         let leaves_old_alone = self.reason == Reason::Silent
             || (survey.demoted.is_some() && !self.reason.is_planned());
         let requests = servers.iter().map(|server| async move {
-            let is_old = this.is_old(server);
+            // One that has started again since it led may have lost its log, and is a replica like others.
+            let is_old = this.is_old(server)
+                && !(leaves_old_alone && this.group.has_restarted_since_led(server));
             let statement = match (is_old, this.is_handover) {
                 (true, _) if leaves_old_alone => return (server, true, None),
                 (true, _) => Statement::Demote { term },
@@ -907,6 +912,8 @@
             sleep(RETRY_PAUSE).await;
         }
         log::warn!("event=replicas-not-resumed group={}", self.group.name);
+        // A server that was out of reach for so long may still be paused when it is back.
+        lock(&self.group.recheck).on_failed(self.node.now());
     }
 
     /// Runs a command or status query at a server, on a pooled connection unless it is the old
--- a/crates/relay/tests/model/cluster.rs
+++ b/crates/relay/tests/model/cluster.rs
@@ -49,6 +49,8 @@
     pub paused: u64,
     /// The term and the number of each commit that it has received.
     pub log: Vec<(u64, usize)>,
+    /// How often it has started without its log.
+    pub run: u64,
 }
 
 /// What a server is asked.
@@ -121,6 +123,8 @@
     pub moved: Option<usize>,
     /// The log of `leader` if that has lost it.
     lost: Option<Vec<(u64, usize)>>,
+    /// The runs of the servers when a commit was acknowledged last, as far as instances know.
+    confirmed_runs: [u64; SERVERS],
     /// The accepted orders that have not taken effect.
     pub orders: Vec<Order>,
     /// The tokens of all orders that reached the platform, with their holders.
@@ -141,6 +145,7 @@
             term: FIRST_TERM,
             paused: 0,
             log: Vec::new(),
+            run: 0,
         };
         Self {
             servers: std::array::from_fn(server),
@@ -148,6 +153,7 @@
             term: FIRST_TERM,
             moved: None,
             lost: None,
+            confirmed_runs: [0; SERVERS],
             orders: Vec::new(),
             tokens: Vec::new(),
             broken: None,
@@ -264,10 +270,28 @@
             term: FIRST_TERM,
             paused: 0,
             log: Vec::new(),
+            run: self.servers[server].run + 1,
             ..self.servers[server].clone()
         };
     }
 
+    /// Returns whether a server has started again without its log since the last acknowledged commit.
+    pub fn is_other_run(&self, server: usize) -> bool {
+        self.servers[server].run != self.confirmed_runs[server]
+    }
+
+    /// Returns the present run of each server.
+    pub fn runs(&self) -> [u64; SERVERS] {
+        std::array::from_fn(|server| self.servers[server].run)
+    }
+
+    /// Records that a commit was acknowledged that was sent when the servers had these `runs`.
+    pub fn on_acknowledged(&mut self, runs: [u64; SERVERS]) {
+        for (confirmed, run) in self.confirmed_runs.iter_mut().zip(runs) {
+            *confirmed = run.max(*confirmed);
+        }
+    }
+
     /// Starts a crashed server under the id of the one that joins, at its address and with its log.
     pub fn move_to_joiner(&mut self, server: usize, is_demotion_forgotten: bool) {
         let joiner = SERVERS - 1;
--- a/crates/relay/tests/model/commit.rs
+++ b/crates/relay/tests/model/commit.rs
@@ -30,6 +30,8 @@
     pub instance: usize,
     pub incarnation: u64,
     pub server: usize,
+    /// The runs of the servers when it was sent.
+    runs: [u64; SERVERS],
     pub position: Position,
     pub sent: Time,
     /// The token of the latest replacement when it was sent; `None` if one may have been under way.
@@ -43,6 +45,7 @@
         return;
     };
     let number = state.commits.len();
+    let runs = state.cluster.runs();
     let leader = &mut state.cluster.servers[server];
     let term = leader.term;
     leader.log.push((term, number));
@@ -51,6 +54,7 @@
         instance,
         incarnation: sender.incarnation,
         server,
+        runs,
         position: leader.received(),
         sent: state.now,
         token: sender.lease.token(),
@@ -115,6 +119,7 @@
             instance.on_proof(now, commit.sent, commit.server, commit.position);
             let leadership = &mut instance.leadership;
             leadership.on_acknowledged(commit.sent, commit.position);
+            state.cluster.on_acknowledged(commit.runs);
         }
     }
 }
--- a/crates/relay/tests/model/faults.rs
+++ b/crates/relay/tests/model/faults.rs
@@ -111,7 +111,10 @@
 #[test]
 fn an_end_that_only_the_primary_had_keeps_its_group_without_one() {
     let world = World {
-        rules: Rules::all(Fencing::Enforced),
+        rules: Rules {
+            has_runs: false,
+            ..Rules::all(Fencing::Enforced)
+        },
         limits: Limits {
             has_ends: true,
             losses: 1,
@@ -128,6 +131,7 @@
     let world = World {
         rules: Rules {
             has_bound: false,
+            has_runs: false,
             ..Rules::all(Fencing::Enforced)
         },
         limits: Limits {
--- a/crates/relay/tests/model/promotion.rs
+++ b/crates/relay/tests/model/promotion.rs
@@ -29,7 +29,7 @@
 
 impl Replacement {
     pub fn on_decide(&mut self, scene: &mut Scene<'_>) -> Step {
-        if self.reason.is_planned() && self.survey.demoted.is_none() {
+        if self.reason.is_planned() && !self.survey.has_whole_log() {
             self.undemoted += 1;
             if self.undemoted >= DEMOTION_ATTEMPTS_MAX {
                 // It may have failed; then only paused replicas prove what was acknowledged.
@@ -222,7 +222,10 @@
         let until = *self.resumes_until.get_or_insert(now + RESUMPTION_TIME);
         match now < until {
             true => Step::Resume { leader },
-            false => Step::Release { is_settled: true },
+            false => {
+                scene.state.instances[scene.instance].recheck.on_failed(now);
+                Step::Release { is_settled: true }
+            }
         }
     }
 
--- a/crates/relay/tests/model/rules.rs
+++ b/crates/relay/tests/model/rules.rs
@@ -17,6 +17,9 @@
     pub is_survey_last: bool,
     /// Whether the logs must reach the positions at which commits were acknowledged.
     pub has_bound: bool,
+    /// Whether runs of servers are the holders of commits, so that a log that was lost counts as missing
+    /// and logs below the bound suffice once all entries are known.
+    pub has_runs: bool,
     /// Whether an order that was given up can't reach the platform any more.
     pub has_order_deadline: bool,
     /// Whether instances resume replicas that are found paused after a replacement.
@@ -33,8 +36,8 @@
             has_eras: true,
             is_survey_last: true,
             has_bound: true,
-            // What the kernel has taken over is sent again for longer than the order is waited for.
-            has_order_deadline: false,
+            has_runs: true,
+            has_order_deadline: true,
             has_recheck: true,
         }
     }
--- a/crates/relay/tests/model/survey.rs
+++ b/crates/relay/tests/model/survey.rs
@@ -1,5 +1,7 @@
 //! The steps of a replacement up to the survey of the logs.
 
+use std::sync::Arc;
+
 use clock::Span;
 use relay::failover::Phase;
 use relay::failover::Reason;
@@ -116,6 +118,8 @@
             leadership.on_not_leader(&cluster::name(old));
             if scene.fate == Fate::Done {
                 self.survey.demoted = Some((cluster::name(old), status.received));
+                self.survey.is_unproven =
+                    scene.rules.has_runs && scene.state.cluster.is_other_run(old);
                 self.is_handover = true;
             }
         }
@@ -172,7 +176,16 @@
             self.survey.acknowledged = self.acknowledged;
         }
         self.survey.holders = surveyor.commit_holders();
-        let servers = &scene.state.cluster.servers;
+        let cluster = &scene.state.cluster;
+        let servers = &cluster.servers;
+        if scene.rules.has_runs {
+            let other_runs = (0..SERVERS).filter(|server| cluster.is_other_run(*server));
+            let former_runs =
+                other_runs.map(|server| Arc::from(format!("{}@", cluster::name(server))));
+            self.survey.holders.extend(former_runs);
+            self.survey.is_complete =
+                (0..SERVERS).all(|server| knows[server] || !servers[server].has_joined);
+        }
         self.survey.leaving = (0..SERVERS)
             .filter(|server| knows[*server] && servers[*server].is_draining)
             .map(cluster::name)
@@ -194,9 +207,10 @@
     }
 
     pub fn survey_server(&mut self, scene: &mut Scene<'_>, server: usize, term: u64) {
-        let is_old = self.old == Some(server);
         let leaves_old_alone = self.reason == Reason::Silent
             || (self.survey.demoted.is_some() && !self.reason.is_planned());
+        let has_restarted = scene.rules.has_runs && scene.state.cluster.is_other_run(server);
+        let is_old = self.old == Some(server) && !(leaves_old_alone && has_restarted);
         let command = match (is_old, self.is_handover) {
             (true, _) if leaves_old_alone => return,
             (true, _) => Command::Demote(term),
@@ -219,6 +233,8 @@
             self.on_other_primary(scene, server, term, status);
         } else if is_old {
             self.survey.demoted = Some((name, status.received));
+            self.survey.is_unproven =
+                scene.rules.has_runs && scene.state.cluster.is_other_run(server);
         } else if status.paused > 0 {
             self.survey.paused.insert(name, status.received);
         } else {
