Split replacement.rs: commands to servers, and the report

Moves only: commands to servers and what they show go to servers.rs, log lines and counters to report.rs, and two names say what they hold (has_pending_order_for_other, Window).

--- a/crates/relay/src/failover/claim.rs
+++ b/crates/relay/src/failover/claim.rs
@@ -253,7 +253,7 @@
 
     /// Returns whether an order that got no answer may still promote another server than `server`,
     /// which would then lead without the commits acknowledged since.
-    pub fn may_promote_other(&self, node: &Node, group: &Group, server: &str) -> bool {
+    pub fn has_pending_order_for_other(&self, node: &Node, group: &Group, server: &str) -> bool {
         let order = self.lease.unanswered.as_ref();
         let other = order.filter(|order| *order.server != *server);
         other.is_some_and(|order| {
--- a/crates/relay/src/failover/promotion.rs
+++ b/crates/relay/src/failover/promotion.rs
@@ -37,7 +37,7 @@
 const PROOF_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The time in which an order of this instance may be sent and answered.
-struct Term<'a> {
+struct Window<'a> {
     node: &'a Node,
     order: &'a Order,
     /// When the order must have been sent.
@@ -46,7 +46,7 @@
     end: Time,
 }
 
-impl Validity for Term<'_> {
+impl Validity for Window<'_> {
     fn may_send(&self) -> bool {
         let is_newest = self.node.leases.tenures.newest(&self.order.group) <= self.order.token;
         is_newest && self.node.now() < self.send_deadline
@@ -136,7 +136,7 @@
         let begun = self.node.now();
         let age = claim.age(begun);
         let promoter = &self.node.dependencies.promoter;
-        let validity = Term {
+        let validity = Window {
             node: self.node,
             order: &order,
             send_deadline: self.send_deadline(claim, begun),
--- a/crates/relay/src/failover/replacement.rs
+++ b/crates/relay/src/failover/replacement/replacement.rs
@@ -8,14 +8,9 @@
 use clock::Span;
 use clock::Time;
 use endpoint::Position;
-use endpoint::Role;
-use futures::StreamExt;
 use futures::future::join;
-use futures::future::join_all;
-use futures::stream::FuturesUnordered;
 use tokio::time::sleep;
 
-use crate::external::Status;
 use crate::failover::Bound;
 use crate::failover::Choice;
 use crate::failover::Mediation;
@@ -28,18 +23,15 @@
 use crate::failover::bound::Source;
 use crate::failover::claim::Claim;
 use crate::failover::claim::Takeover;
-use crate::failover::command;
 use crate::failover::promotion::Answer;
 use crate::failover::registrations;
 use crate::group::Group;
 use crate::group::Server;
 use crate::group::UNKNOWN_PRIMARY;
-use crate::message::Statement;
 use crate::node::Fencing;
 use crate::node::Node;
 use crate::node::lock;
 use crate::peers::View;
-use crate::settings;
 use crate::task;
 
 /// Maximum wait for other instances' views of the group; a round trip between zones takes 3 ms.
@@ -48,12 +40,9 @@
 /// milliseconds.
 const PROMOTION_SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// Pause between two attempts of a step.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Attempts of a step before the lease is given up; a new failover gets a new token.
 const ATTEMPTS_MAX: u32 = 60;
-/// Attempts to resume replicas; a server that is back from a partition drops its old connections
-/// within three seconds.
-const RESUME_ATTEMPTS_MAX: u32 = 40;
 /// An instance that has run this long knows every server of the last half minute.
 const MEMBERSHIP_LEARNED_AFTER: Span = Span::from_secs(30);
 /// How often the lease is renewed, so that no other instance presumes the holder dead.
@@ -64,40 +53,38 @@
 /// Attempts to find a replica with the whole log of a primary that other instances demoted, before the
 /// replicas are paused; what the primary sent last arrives within a round trip.
 const TAIL_ATTEMPTS_MAX: u32 = 3;
-/// A waiting failover is logged once per this many attempts.
-const ATTEMPTS_PER_LOG_LINE: u32 = 8;
 
 /// One attempt to replace a primary.
 pub struct Replacement<'a> {
-    node: &'a Arc<Node>,
-    group: &'a Arc<Group>,
-    reason: Reason,
+    pub(super) node: &'a Arc<Node>,
+    pub(super) group: &'a Arc<Group>,
+    pub(super) reason: Reason,
     /// The primary known when the attempt began.
-    old: Option<Arc<Server>>,
+    pub(super) old: Option<Arc<Server>>,
     /// The newest term reported by any server; pause and demote commands need a newer one.
-    term: u64,
+    pub(super) term: u64,
     /// Whether the group's primary was ever replaced.
-    was_replaced: bool,
+    pub(super) was_replaced: bool,
     /// The address of the leader that the table names, unless another promotion may be pending.
-    appointed: Option<SocketAddr>,
+    pub(super) appointed: Option<SocketAddr>,
     /// The end of the instances' reliance on the old primary; `None` until the lease is held.
-    retirement: Option<Retirement>,
+    pub(super) retirement: Option<Retirement>,
     /// The other instances that reach the old primary.
-    mediation: Mediation,
+    pub(super) mediation: Mediation,
     /// When all replicas that may have confirmed an acknowledged commit have written their entries.
-    registered_by: Time,
+    pub(super) registered_by: Time,
     /// Servers that answered the last attempt's pause or demote commands and did not follow them.
-    ineffective_commands: u32,
+    pub(super) ineffective_commands: u32,
     /// How often the term of the commands was raised since one had no effect.
-    term_raises: u64,
+    pub(super) term_raises: u64,
     /// The term of the last attempt's pause and demote commands.
-    command_term: u64,
+    pub(super) command_term: u64,
     /// What was missing in the last attempt, for the log.
-    missing: &'static str,
+    pub(super) missing: &'static str,
     /// The servers' answers in the last attempt, for the log.
-    statuses: Vec<String>,
+    pub(super) statuses: Vec<String>,
     /// Whether the old primary steps down, so that replicas need not be paused to read their logs.
-    is_handover: bool,
+    pub(super) is_handover: bool,
 }
 
 impl<'a> Replacement<'a> {
@@ -294,7 +281,7 @@
         })
     }
 
-    fn is_unchecked(&self) -> bool {
+    pub(super) fn is_unchecked(&self) -> bool {
         self.node.options.fencing == Fencing::Unchecked
     }
 
@@ -328,7 +315,7 @@
     }
 
     /// Makes a server the only one whose claim to lead this instance believes.
-    fn believe(&self, server: Option<&Arc<Server>>) {
+    pub(super) fn believe(&self, server: Option<&Arc<Server>>) {
         let address = server.map(|server| lock(&server.entry).address);
         self.group
             .change_leader_lease(|lease| lease.set_candidate(address));
@@ -498,7 +485,7 @@
                     self.log_wait(attempt, "an instance may rely on the old leader", &survey);
                 }
                 Choice::Promote(chosen)
-                    if claim.may_promote_other(self.node, self.group, &chosen) =>
+                    if claim.has_pending_order_for_other(self.node, self.group, &chosen) =>
                 {
                     self.log_wait(attempt, "an order without an answer is pending", &survey);
                 }
@@ -543,137 +530,6 @@
         None
     }
 
-    /// Has other instances demote a primary that only this one doesn't reach.
-    async fn demote_through_others(&mut self, survey: &mut Survey) {
-        // A primary that leaves answers this instance, which demotes it itself.
-        let Some(old) = self.old.as_ref().filter(|_| !self.reason.is_planned()) else {
-            return;
-        };
-        if self.mediation.instances().is_empty() {
-            log::info!(
-                "event=primary-not-demoted-by-others group={} server={} why=\"no instance names it\"",
-                self.group.name,
-                old.name
-            );
-            return;
-        }
-        let term = self.next_term(survey);
-        let mediation = &self.mediation;
-        let demoted = mediation.request(self.node, self.group, old, term).await;
-        self.is_handover |= demoted.is_some();
-        survey.demoted = demoted.map(|received| (Arc::clone(&old.name), received));
-        let current = self.group.server(&old.name);
-        survey.is_unproven = !current.is_some_and(|server| self.group.has_led(&server));
-    }
-
-    /// Returns whether so many servers besides the old primary answer that one can be chosen.
-    async fn reaches_successors(&self) -> bool {
-        let covered = self.group.covered_holders();
-        let mut holders = self.group.commit_holders();
-        holders.retain(|name| !covered.contains_key(name));
-        let holders = holders.len();
-        let departed = self.group.unconfirmed_departures().len();
-        let sync_replicas = lock(&self.group.settings).sync_replicas;
-        let needed = match self.mediation.instances().is_empty() {
-            true => holders.saturating_sub(sync_replicas + departed).max(1),
-            // The primary is demoted through others; then one replica may have its whole log.
-            false => 1,
-        };
-        let servers = self.group.servers();
-        let mut answers: FuturesUnordered<_> = servers
-            .iter()
-            .filter(|server| !self.is_old(server))
-            .map(|server| command::run_pooled(self.node, server, &Statement::Status))
-            .collect();
-        let mut answered = 0;
-        while let Some(status) = answers.next().await {
-            answered += usize::from(status.is_some());
-            if answered >= needed {
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Raises the term of the next attempt's commands if one of `term` had no effect at a server that
-    /// answered: it has seen a newer term than its log and status tell, as a promoted server's positions
-    /// stay in the earlier term until its first commit.
-    fn raise_term(&mut self, term: u64) {
-        if self.ineffective_commands == 0 {
-            return;
-        }
-        self.ineffective_commands = 0;
-        self.term_raises += 1;
-        // The steps grow, so that a term far above is reached within the attempts of one replacement.
-        self.term = self.term.max(term + self.term_raises - 1);
-        log::info!(
-            "event=failover-term-raised group={} from={term} to={}",
-            self.group.name,
-            self.term + 1
-        );
-    }
-
-    /// Returns a term above every one that this instance knows of.
-    fn next_term(&self, survey: &Survey) -> u64 {
-        self.term.max(survey.acknowledged.term) + 1
-    }
-
-    /// Logs a bound with what is known of the reply that it comes from.
-    fn log_bound(&self, bound: &Bound) {
-        // Only this instance's own commits are known in detail.
-        let last = self.group.last_commit();
-        let last = last.filter(|_| bound.source == Source::Own);
-        log::info!(
-            "event=failover-bound group={} position={} source={} server={} age_ms={} unanswered={}",
-            self.group.name,
-            bound.position,
-            bound.source,
-            last.as_ref().map_or("-", |last| &*last.server),
-            last.as_ref().map_or_else(
-                || "-".to_owned(),
-                |last| self.age_ms(last.acknowledged_at).to_string()
-            ),
-            last.as_ref()
-                .map_or_else(|| "-".to_owned(), |last| last.unanswered.to_string())
-        );
-    }
-
-    fn age_ms(&self, at: Time) -> u64 {
-        self.node.now().since(at).as_millis()
-    }
-
-    /// Warns of a replacement that ended without a result: the next one has the same task, so only a
-    /// server's return or the operator ends the outage if this repeats.
-    fn report_outcome(&self, promoted: &Option<Arc<str>>) {
-        let mut unsuccessful = lock(&self.group.unsuccessful_replacements);
-        if promoted.is_some() {
-            *unsuccessful = 0;
-            return;
-        }
-        *unsuccessful += 1;
-        self.node.metrics.failovers_unsuccessful.inc();
-        log::warn!(
-            "event=failover-unsuccessful group={} in_succession={unsuccessful} why=\"{}\" statuses=\"{}\"",
-            self.group.name,
-            self.missing,
-            self.statuses.join(" ")
-        );
-    }
-
-    /// Logs that a replacement waits, once per several attempts.
-    fn log_wait(&mut self, attempt: u32, why: &'static str, survey: &Survey) {
-        self.missing = why;
-        self.node.metrics.failover_wait(why);
-        if attempt == 1 || attempt.is_multiple_of(ATTEMPTS_PER_LOG_LINE) {
-            log::info!(
-                "event=failover-waits group={} attempt={attempt} why=\"{why}\" command_term={} statuses=\"{}\" survey=\"{survey:?}\"",
-                self.group.name,
-                self.command_term,
-                self.statuses.join(" ")
-            );
-        }
-    }
-
     /// Returns what to do after a survey, and by which rule.
     ///
     /// A server whose promotion was requested before is preferred, since that may take effect at any
@@ -724,7 +580,7 @@
         {
             return None;
         }
-        if claim.may_promote_other(self.node, self.group, &old.name) {
+        if claim.has_pending_order_for_other(self.node, self.group, &old.name) {
             return None;
         }
         let probed = self.node.now();
@@ -758,187 +614,4 @@
         let is_old = self.old.as_ref().is_some_and(|old| old.name == leader.name);
         (!is_old).then(|| Arc::clone(&leader.name))
     }
-
-    /// Stops servers that may still acknowledge commits, and collects the position of each log.
-    async fn collect(&mut self, survey: &mut Survey) {
-        survey.holders = self.group.commit_holders();
-        survey.covered = self.group.covered_holders();
-        let servers = self.group.servers();
-        survey.leaving = servers
-            .iter()
-            .filter(|server| server.is_draining() || self.group.is_cold(server))
-            .map(|server| Arc::clone(&server.name))
-            .collect();
-        survey.evacuated = servers
-            .iter()
-            .filter(|server| server.is_evacuated())
-            .map(|server| Arc::clone(&server.name))
-            .collect();
-        let term = self.next_term(survey);
-        self.command_term = term;
-        self.statuses.clear();
-        // A server paused by an earlier attempt may have restarted since.
-        survey.paused.clear();
-        survey.receiving.clear();
-        let this = &*self;
-        // A silent primary is left alone, as it may recover.
-        let leaves_old_alone = self.reason == Reason::Silent
-            || (survey.demoted.is_some() && !self.reason.is_planned());
-        let requests = servers.iter().map(|server| async move {
-            // One that has started again since it led may have lost its log, and is a replica like others.
-            let is_old = this.is_old(server)
-                && !(leaves_old_alone && this.group.has_restarted_since_led(server));
-            let statement = match (is_old, this.is_handover) {
-                (true, _) if leaves_old_alone => return (server, true, None),
-                (true, _) => Statement::Demote { term },
-                (false, true) => Statement::Status,
-                (false, false) => Statement::Pause { term },
-            };
-            (server, is_old, this.run_command(server, &statement).await)
-        });
-        let departed = self.group.unconfirmed_departures();
-        let (replies, departed) = join(
-            join_all(requests),
-            join_all(
-                departed
-                    .iter()
-                    .map(|(name, entry)| this.stop_departed(name, entry, term)),
-            ),
-        )
-        .await;
-        for (name, received) in departed.into_iter().flatten() {
-            survey.paused.insert(name, received);
-        }
-        for (server, is_old, status) in replies {
-            self.statuses.push(describe(server, status.as_ref()));
-            let Some(status) = status else {
-                continue;
-            };
-            let name = Arc::clone(&server.name);
-            self.term = self.term.max(status.term).max(status.paused_term);
-            let is_commanded = is_old || !self.is_handover;
-            let is_followed = match is_old {
-                true => status.role == Role::Replica,
-                false => status.role == Role::Primary || status.paused_term > 0,
-            };
-            self.ineffective_commands += u32::from(is_commanded && !is_followed);
-            if status.role == Role::Primary {
-                self.on_other_primary(server, term).await;
-            } else if is_old {
-                survey.demoted = Some((name, status.received));
-                survey.is_unproven = !self.group.has_led(server);
-            } else if status.paused_term > 0 {
-                survey.paused.insert(name, status.received);
-            } else {
-                survey.receiving.insert(name, status.received);
-            }
-        }
-        self.raise_term(term);
-    }
-
-    /// Returns whether a server is the old primary, rather than a later run of it that may lack its log.
-    fn is_old(&self, server: &Server) -> bool {
-        let old = self.old.as_ref();
-        old.is_some_and(|old| old.name == server.name)
-            && !self.group.has_restarted_since_led(server)
-    }
-
-    /// Handles a server other than the old primary that acts as primary.
-    async fn on_other_primary(&mut self, server: &Arc<Server>, term: u64) {
-        let is_first = self.old.is_none() && !self.was_replaced;
-        let is_appointed = self.appointed == Some(lock(&server.entry).address);
-        if self.is_unchecked() && (is_first || is_appointed) {
-            // Either the group has had no other primary, so this one only was not found, or the latest
-            // one is back with its log.
-            self.old = Some(Arc::clone(server));
-            self.reason = Reason::Silent;
-            self.believe(Some(server));
-        } else if self.is_unchecked() {
-            // It has been replaced and was not demoted yet.
-            let status = self.run_command(server, &Statement::Demote { term }).await;
-            let is_demoted = status.is_none_or(|status| status.role == Role::Replica);
-            self.ineffective_commands += u32::from(!is_demoted);
-        } else {
-            // It leads in a term that this instance doesn't know yet.
-            task::leader::probe(self.node, self.group, server).await;
-        }
-    }
-
-    /// Pauses a departed server and returns its position, or finds that it has stopped.
-    async fn stop_departed(
-        &self,
-        name: &Arc<str>,
-        entry: &settings::Server,
-        term: u64,
-    ) -> Option<(Arc<str>, Position)> {
-        match command::run_dedicated(
-            self.node,
-            self.group,
-            name,
-            entry,
-            &Statement::Pause { term },
-        )
-        .await
-        {
-            Ok(status) => {
-                let status = status.filter(|status| status.paused_term > 0)?;
-                Some((Arc::clone(name), status.received))
-            }
-            Err(error) => {
-                if command::shows_server_gone(&error) {
-                    self.group.on_departure_confirmed(name);
-                }
-                None
-            }
-        }
-    }
-
-    /// Resumes paused replicas.
-    async fn resume(&self, leader: &Arc<str>) {
-        for _ in 0..RESUME_ATTEMPTS_MAX {
-            let mut is_any_paused = false;
-            let servers = self.group.servers();
-            let resumed = servers
-                .iter()
-                .filter(|server| server.name != *leader)
-                .map(|server| self.run_command(server, &Statement::Resume));
-            for status in join_all(resumed).await {
-                is_any_paused |= status.is_none_or(|status| status.paused_term > 0);
-            }
-            if !is_any_paused {
-                lock(&self.group.recheck).on_resumed();
-                return;
-            }
-            sleep(RETRY_PAUSE).await;
-        }
-        log::warn!("event=replicas-not-resumed group={}", self.group.name);
-        // A server that was out of reach for so long may still be paused when it is back.
-        lock(&self.group.recheck).on_failed(self.node.now());
-    }
-
-    /// Runs a command or status query at a server, on a pooled connection unless it is the old
-    /// primary.
-    async fn run_command(&self, server: &Arc<Server>, statement: &Statement) -> Option<Status> {
-        let is_old = self.old.as_ref().is_some_and(|old| old.name == server.name);
-        if !is_old && let Some(status) = command::run_pooled(self.node, server, statement).await {
-            return Some(status);
-        }
-        let entry = lock(&server.entry).clone();
-        command::run_dedicated(self.node, self.group, &server.name, &entry, statement)
-            .await
-            .ok()
-            .flatten()
-    }
-}
-
-/// Describes a server's answer in a survey, for the log.
-fn describe(server: &Server, status: Option<&Status>) -> String {
-    let born = server.born();
-    let Some(status) = status else {
-        return format!("{}:born={born},silent", server.name);
-    };
-    format!(
-        "{}:born={born},role={},term={},paused={},received={}",
-        server.name, status.role, status.term, status.paused_term, status.received
-    )
 }
