Tests: take instances' ports below those of outgoing connections

Tests took a port that the system gave them, released it and bound it again at each start, so another test or connection could take it meanwhile.

--- a/crates/relay/tests/relay/world/instance.rs
+++ b/crates/relay/tests/relay/world/instance.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -61,6 +62,9 @@
 
 /// The wall-clock time at which a world is opened, in milliseconds.
 const WALL_START_MS: u64 = 1_796_390_400_000;
+/// The first port of instances, and their number; the system takes those of outgoing connections above.
+const PORT_FIRST: u32 = 10_000;
+const PORTS: u32 = 20_000;
 
 /// How the rows in a reply reach the caller.
 #[derive(Clone, Copy, Debug, Default)]
@@ -734,10 +738,15 @@
 
 /// Returns an address that is unused over UDP and TCP.
 pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-        let address = socket.local_addr().expect("a bound port");
-        if TcpListener::bind(address).is_ok() {
+        // An instance that restarts binds its port again; below the ports of outgoing connections nobody
+        // takes it meanwhile.
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORT_FIRST + (std::process::id() * 64 + step) % PORTS;
+        let port = u16::try_from(port).expect("ports end below 30,000");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if UdpSocket::bind(address).is_ok() && TcpListener::bind(address).is_ok() {
             return address;
         }
     }
