Remove a condition that Replacement::is_old already has

The second check in collect could never decide anything. The imports of the files split off are grouped like the others; behaviour is the same.

--- a/crates/relay/src/failover/replacement/report.rs
+++ b/crates/relay/src/failover/replacement/report.rs
@@ -1,12 +1,14 @@
 //! What a replacement logs and counts.
 
+use std::sync::Arc;
+
+use clock::Time;
+
 use crate::failover::Bound;
 use crate::failover::Survey;
 use crate::failover::bound::Source;
 use crate::failover::replacement::Replacement;
 use crate::node::lock;
-use clock::Time;
-use std::sync::Arc;
 
 /// A waiting failover is logged once per this many attempts.
 const ATTEMPTS_PER_LOG_LINE: u32 = 8;
--- a/crates/relay/src/failover/replacement/servers.rs
+++ b/crates/relay/src/failover/replacement/servers.rs
@@ -1,5 +1,15 @@
 //! Commands to the servers of a group whose primary is replaced, and what their answers show.
 
+use std::sync::Arc;
+
+use endpoint::Position;
+use endpoint::Role;
+use futures::StreamExt;
+use futures::future::join;
+use futures::future::join_all;
+use futures::stream::FuturesUnordered;
+use tokio::time::sleep;
+
 use crate::external::Status;
 use crate::failover::Reason;
 use crate::failover::Survey;
@@ -11,14 +21,6 @@
 use crate::node::lock;
 use crate::settings;
 use crate::task;
-use endpoint::Position;
-use endpoint::Role;
-use futures::StreamExt;
-use futures::future::join;
-use futures::future::join_all;
-use futures::stream::FuturesUnordered;
-use std::sync::Arc;
-use tokio::time::sleep;
 
 /// Attempts to resume replicas; a server that is back from a partition drops its old connections
 /// within three seconds.
@@ -126,9 +128,7 @@
         let leaves_old_alone = self.reason == Reason::Silent
             || (survey.demoted.is_some() && !self.reason.is_planned());
         let requests = servers.iter().map(|server| async move {
-            // One that has started again since it led may have lost its log, and is a replica like others.
-            let is_old = this.is_old(server)
-                && !(leaves_old_alone && this.group.has_restarted_since_led(server));
+            let is_old = this.is_old(server);
             let statement = match (is_old, this.is_handover) {
                 (true, _) if leaves_old_alone => return (server, true, None),
                 (true, _) => Statement::Demote { term },
