--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,6 +23,8 @@
 /// How long statements may reach a server after its report that it leaves (`drain-timeout-ms`).
 const DRAIN: Duration = Duration::from_millis(7_000);
 const KEY: &str = "u6wsjnbanfqasnmgkcuy";
+/// The key of a tenant with a low limit.
+const HOT_KEY: &str = "j8pjbvk9m68k7b2ex5wa";
 
 /// The result of a case: whether the rule was broken, or why the case could not run.
 pub type Verdict = Result<bool, String>;
@@ -32,6 +36,8 @@
         "reborn" => reborn(record, has_trouble),
         "blackout" => blackout(record, has_trouble),
         "paging" => paging(record, has_trouble),
+        "logs" => logs(record, has_trouble),
+        "replaced" => replaced(record, has_trouble),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -185,7 +191,9 @@
          \"limits\":{{\"header-bytes\":16384,\"body-bytes\":262144,\"header-timeout-ms\":3000,\
          \"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}},\
          \"tenants\":[{{\"name\":\"nypu\",\"api-keys\":[\"{KEY}\"],\"priority\":1,\
-         \"rate-per-s\":132,\"burst\":132}}]}}"
+         \"rate-per-s\":2000,\"burst\":2000}},\
+         {{\"name\":\"hapi\",\"api-keys\":[\"{HOT_KEY}\"],\"priority\":1,\
+         \"rate-per-s\":5,\"burst\":5}}]}}"
     )
 }
 
@@ -397,3 +405,172 @@
     site.record.line(&line);
     count
 }
+
+/// All processes are killed and started again; the reader of their logs rests from then on, while a tenant
+/// asks for more than its limit.
+fn logs(record: &Record, has_trouble: bool) -> Verdict {
+    /// `recovery-s`.
+    const RECOVERY: Duration = Duration::from_secs(12);
+    let mut site = Site::open(&record.quiet(), 2)?;
+    site.start()?;
+    pause(1_000);
+    let begun = Instant::now();
+    let counts: Arc<Mutex<Vec<(Instant, bool)>>> = Arc::default();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for front in site.fronts() {
+        for number in 0..6 {
+            let (key, pause_ms) = match number {
+                0 | 1 => (HOT_KEY, 20),
+                _ => (KEY, 10),
+            };
+            let quiet = record.quiet();
+            let (counts, is_over) = (Arc::clone(&counts), Arc::clone(&is_over));
+            callers.push(thread::spawn(move || {
+                call_until_over(front, key, pause_ms, &quiet, &counts, &is_over);
+            }));
+        }
+    }
+    pause(5_000);
+    record.line("final fault: all processes are killed");
+    let fault = Instant::now();
+    for instance in &mut site.instances {
+        instance.kill();
+    }
+    pause(1_200);
+    site.start()?;
+    let back = Instant::now();
+    if has_trouble {
+        for instance in &site.instances {
+            instance.set_log_unread(true);
+        }
+    }
+    pause(30_000);
+    let until = Instant::now() - Duration::from_secs(4);
+    let ready = site
+        .instances
+        .iter()
+        .filter(|instance| instance.is_ready())
+        .count();
+    record.line(&format!(
+        "{ready} of {} instances answer that they are ready",
+        site.instances.len()
+    ));
+    is_over.store(true, Ordering::Relaxed);
+    for instance in &site.instances {
+        instance.set_log_unread(false);
+    }
+    for caller in callers {
+        caller
+            .join()
+            .map_err(|_| String::from("a caller panicked"))?;
+    }
+    let before = share(record, &counts, begun, fault);
+    let after = share(record, &counts, back + RECOVERY, until);
+    record.line(&format!(
+        "RECOVER: served before the final fault {before:.2}, after {after:.2}"
+    ));
+    Ok(before >= 0.25 && after < 0.25)
+}
+
+/// All machines are lost for good, and as many come at other addresses.
+fn replaced(record: &Record, has_trouble: bool) -> Verdict {
+    /// `recovery-s`.
+    const RECOVERY: Duration = Duration::from_secs(12);
+    const MACHINES: usize = 4;
+    let mut site = Site::open(&record.quiet(), 2 * MACHINES)?;
+    let mut spare = site.instances.split_off(MACHINES);
+    site.start()?;
+    pause(2_000);
+    let counts: Arc<Mutex<Vec<(Instant, bool)>>> = Arc::default();
+    let begun = Instant::now();
+    call_for(&site, Duration::from_secs(6), &counts)?;
+    let fault = Instant::now();
+    for instance in &mut site.instances {
+        instance.kill();
+    }
+    if has_trouble {
+        record.line("the machines are gone for good; others come at other addresses");
+        std::mem::swap(&mut site.instances, &mut spare);
+    }
+    pause(2_000);
+    site.start()?;
+    let back = Instant::now();
+    call_for(&site, Duration::from_secs(40), &counts)?;
+    let before = share(record, &counts, begun, fault);
+    let after = share(record, &counts, back + RECOVERY, Instant::now());
+    record.line(&format!(
+        "RECOVER: served before the final fault {before:.2}, after {after:.2}"
+    ));
+    for instance in &site.instances {
+        instance.quote_output(&["slices", "leader-known"]);
+    }
+    Ok(before >= 0.25 && after < 0.25)
+}
+
+/// Sends reads and writes through all instances for some time.
+fn call_for(
+    site: &Site,
+    time: Duration,
+    counts: &Arc<Mutex<Vec<(Instant, bool)>>>,
+) -> Result<(), String> {
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for front in site.fronts() {
+        let quiet = site.record.quiet();
+        let (counts, is_over) = (Arc::clone(counts), Arc::clone(&is_over));
+        callers.push(thread::spawn(move || {
+            call_until_over(front, KEY, 100, &quiet, &counts, &is_over);
+        }));
+    }
+    thread::sleep(time);
+    is_over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller
+            .join()
+            .map_err(|_| String::from("a caller panicked"))?;
+    }
+    Ok(())
+}
+
+/// Returns the share of the requests sent in a span that were served.
+fn share(record: &Record, counts: &Mutex<Vec<(Instant, bool)>>, from: Instant, to: Instant) -> f64 {
+    let counts = counts.lock().expect("not poisoned");
+    let sent: Vec<bool> = counts
+        .iter()
+        .filter(|(at, _)| *at >= from && *at < to)
+        .map(|(_, is_served)| *is_served)
+        .collect();
+    let served = sent.iter().filter(|is_served| **is_served).count();
+    record.line(&format!("of {} requests {served} were served", sent.len()));
+    served as f64 / (sent.len() as f64).max(1.0)
+}
+
+/// Sends reads and counts those that are served.
+fn call_until_over(
+    front: SocketAddr,
+    key: &str,
+    pause_ms: u64,
+    record: &Record,
+    counts: &Mutex<Vec<(Instant, bool)>>,
+    is_over: &AtomicBool,
+) {
+    let mut open = None;
+    while !is_over.load(Ordering::Relaxed) {
+        let sent = Instant::now();
+        let caller = match open.take() {
+            Some(caller) => Ok(caller),
+            None => Caller::connect(front, "lepu", key, record),
+        };
+        let answer = caller.and_then(|mut caller| {
+            let answer = caller.query("READ order0")?;
+            Ok((caller, answer))
+        });
+        let is_served = answer
+            .as_ref()
+            .is_ok_and(|(_, answer)| answer.outcome.is_ok());
+        counts.lock().expect("not poisoned").push((sent, is_served));
+        open = answer.ok().map(|(caller, _)| caller);
+        pause(pause_ms);
+    }
+}
--- a/review/standins-2/instance.rs
+++ b/review/standins-2/instance.rs
@@ -11,7 +11,11 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -48,6 +52,8 @@
     ready: SocketAddr,
     settings: PathBuf,
     output: PathBuf,
+    /// Whether nobody reads the log at present.
+    is_log_unread: Arc<AtomicBool>,
     child: Option<Child>,
     record: Record,
 }
@@ -97,23 +103,28 @@
             ready,
             settings,
             output: directory.join(format!("{name}.log")),
+            is_log_unread: Arc::default(),
             child: None,
             record: record.clone(),
         })
     }
 
-    /// Starts the process.
+    /// Starts the process, and a reader of its log.
     pub fn start(&mut self) -> std::io::Result<()> {
         let output = File::options()
             .create(true)
             .append(true)
             .open(&self.output)?;
-        let child = Command::new(PROGRAM)
+        let mut child = Command::new(PROGRAM)
             .env_clear()
             .env("YUCCAMOUNT_BOOT", &self.settings)
-            .stdout(output.try_clone()?)
-            .stderr(output)
+            .stdout(Stdio::piped())
+            .stderr(output.try_clone()?)
             .spawn()?;
+        if let Some(log) = child.stdout.take() {
+            let is_unread = Arc::clone(&self.is_log_unread);
+            thread::spawn(move || collect(log, output, &is_unread));
+        }
         let line = format!("instance {} started, pid {}", self.name, child.id());
         self.record.line(&line);
         RUNNING.lock().expect("not poisoned").push(child.id());
@@ -121,6 +132,13 @@
         Ok(())
     }
 
+    /// Lets the reader of the log rest or go on.
+    pub fn set_log_unread(&self, is_unread: bool) {
+        let line = format!("log of {} unread={is_unread}", self.name);
+        self.record.line(&line);
+        self.is_log_unread.store(is_unread, Ordering::Relaxed);
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -168,7 +186,8 @@
         false
     }
 
-    fn is_ready(&self) -> bool {
+    /// Returns whether the instance answers that it takes callers.
+    pub fn is_ready(&self) -> bool {
         let ask = || -> std::io::Result<String> {
             let mut stream = TcpStream::connect_timeout(&self.ready, Duration::from_millis(300))?;
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
@@ -201,6 +220,24 @@
     }
 }
 
+/// Copies the log of a process to a file until the process ends.
+fn collect(mut log: impl Read, mut output: File, is_unread: &AtomicBool) {
+    let mut buffer = [0; 4096];
+    loop {
+        while is_unread.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(10));
+        }
+        match log.read(&mut buffer) {
+            Ok(0) | Err(_) => return,
+            Ok(length) => {
+                if output.write_all(&buffer[..length]).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// Returns a loopback address whose port is free for TCP and UDP.
 fn free_address() -> std::io::Result<SocketAddr> {
     loop {
